Answer a question for a job's status from the store

Cause: callers ask just when they expect their job to end and come back 250 ms later, then a second later.

Change: a question about a job that is not known to be over waits 25 ms for the record of its end, reads the status in the store, and answers what was known before if the store is silent for 150 ms. Ended jobs are recorded before others.

--- a/src/pool/JobIntake.cpp
+++ b/src/pool/JobIntake.cpp
@@ -26,6 +26,14 @@
   std::uint32_t Tries = 0;
 };
 
+struct JobIntake::StatusQuestion {
+  JobId Job;
+  /// The furthest status that is known; it never goes back.
+  JobStatus Known = JobStatus::Queued;
+  /// Empty once it is answered.
+  StatusAnswer Done;
+};
+
 JobIntake::JobIntake(AsyncStore &Store, Timers &Clock, DecisionLog &Log,
                      const JobBoard &Board, const IntakeLimits &Limits)
     : Store(Store), Clock(Clock), Log(Log), Board(Board), Limits(Limits) {}
@@ -123,7 +131,17 @@
 void JobIntake::status(JobId Id, StatusAnswer Done) {
   const JobBoard::Entry *Known = Board.job(Id);
   if (Known && Known->Spec) {
-    Done(Reason::None, Known->shown());
+    if (isFinal(Known->shown()) || StatusReads >= Limits.MostStatusReads) {
+      Done(Reason::None, Known->shown());
+      return;
+    }
+    auto Asked = std::make_shared<StatusQuestion>();
+    Asked->Job = Id;
+    Asked->Known = Known->shown();
+    Asked->Done = std::move(Done);
+    ++StatusReads;
+    Clock.after(Limits.StatusSettle, [this, Asked] { readStatus(Asked); });
+    Clock.after(Limits.StatusLimit, [this, Asked] { answerStatus(*Asked); });
     return;
   }
   lookUp(Id, [Done = std::move(Done)](Reason Outcome) {
@@ -131,6 +149,31 @@
   });
 }
 
+void JobIntake::readStatus(const std::shared_ptr<StatusQuestion> &Asked) {
+  const JobBoard::Entry *Known = Board.job(Asked->Job);
+  if (Known && isFinal(Known->shown())) {
+    answerStatus(*Asked);
+    return;
+  }
+  Store.read(std::string(StatusPrefix) + jobName(Asked->Job),
+             [this, Asked](const ListResult &Result) {
+               if (Result.Status == CallStatus::Done && !Result.Entries.empty())
+                 if (auto Read = parseJobStatus(Result.Entries.front().Value))
+                   Asked->Known = std::max(Asked->Known, *Read);
+               answerStatus(*Asked);
+             });
+}
+
+void JobIntake::answerStatus(StatusQuestion &Asked) {
+  if (!Asked.Done)
+    return;
+  --StatusReads;
+  const JobBoard::Entry *Known = Board.job(Asked.Job);
+  if (Known && Known->Spec)
+    Asked.Known = std::max(Asked.Known, Known->shown());
+  std::exchange(Asked.Done, nullptr)(Reason::None, Asked.Known);
+}
+
 void JobIntake::lookUp(JobId Id, std::function<void(Reason)> Done) {
   Store.read(std::string(JobPrefix) + jobName(Id),
              [this, Id, Done = std::move(Done)](const ListResult &Result) {
--- a/src/pool/JobIntake.h
+++ b/src/pool/JobIntake.h
@@ -8,6 +8,7 @@
 #include "pool/JobSpec.h"
 #include "pool/JobStatus.h"
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -32,6 +33,16 @@
   Duration Retry = std::chrono::milliseconds(50);
   /// How much of the caller's time is kept for the way back.
   Duration Margin = std::chrono::milliseconds(150);
+  /// Callers ask for a job's state just when they expect its end. It is read so
+  /// long after the question: by then an end that a worker has told is recorded
+  /// (a turn of the owner and one write).
+  Duration StatusSettle = std::chrono::milliseconds(25);
+  /// If the store has not answered by then, the state that this daemon knew
+  /// before is answered; many round trips.
+  Duration StatusLimit = std::chrono::milliseconds(150);
+  /// With so many reads under way the store is behind, and what is known is
+  /// answered at once.
+  std::uint32_t MostStatusReads = 32;
 };
 
 /// Reason::None stands for success. The answer to a job whose write may still
@@ -49,9 +60,13 @@
   /// Accepts a job, once for each id. \p Deadline is the caller's.
   void submit(const JobSpec &Spec, TimePoint Deadline, Answer Done);
   void cancel(JobId Id, TimePoint Deadline, Answer Done);
+  /// The status as it stands in the store shortly after the call, or, if the
+  /// store does not answer soon, as this daemon saw it last.
   void status(JobId Id, StatusAnswer Done);
 
 private:
+  /// A question for a job's status that waits for the store.
+  struct StatusQuestion;
   /// Creates a key that may exist already, until its outcome is known.
   struct Creation;
 
@@ -59,6 +74,8 @@
   void created(const std::shared_ptr<Creation> &Write,
                const TransactionResult &Result);
   void writeCancel(JobId Id, TimePoint Deadline, Answer Done);
+  void readStatus(const std::shared_ptr<StatusQuestion> &Asked);
+  void answerStatus(StatusQuestion &Asked);
   /// Looks a job up in the store that the board does not know.
   void lookUp(JobId Id, std::function<void(Reason)> Done);
 
@@ -67,6 +84,7 @@
   DecisionLog &Log;
   const JobBoard &Board;
   IntakeLimits Limits;
+  std::uint32_t StatusReads = 0;
 };
 
 } // namespace banyanworks::pool
--- a/src/pool/PoolScheduler.cpp
+++ b/src/pool/PoolScheduler.cpp
@@ -210,19 +210,28 @@
 }
 
 std::vector<JobChange> PoolScheduler::changes(std::size_t Most) const {
+  // Callers wait for jobs that have ended, so that these come first.
+  std::vector<const Job *> Chosen;
+  for (bool Ended : {true, false}) {
+    for (const auto &Entry : Jobs) {
+      const Job &Changed = Entry.second;
+      if (Chosen.size() == Most)
+        break;
+      if (Changed.Version != Changed.Committed &&
+          isFinal(Changed.Status) == Ended)
+        Chosen.push_back(&Changed);
+    }
+  }
   std::vector<JobChange> Result;
-  for (const auto &[Id, Changed] : Jobs) {
-    if (Changed.Version == Changed.Committed)
-      continue;
-    if (Result.size() == Most)
-      break;
+  Result.reserve(Chosen.size());
+  for (const Job *Changed : Chosen) {
     JobChange Change;
-    Change.Job = Id;
-    Change.Version = Changed.Version;
-    if (needsRecord(Changed))
-      Change.Progress = Changed.Progress.encode();
-    if (Changed.Status != Changed.Shown)
-      Change.Status = Changed.Status;
+    Change.Job = Changed->Spec.Id;
+    Change.Version = Changed->Version;
+    if (needsRecord(*Changed))
+      Change.Progress = Changed->Progress.encode();
+    if (Changed->Status != Changed->Shown)
+      Change.Status = Changed->Status;
     Result.push_back(std::move(Change));
   }
   return Result;
