--- /dev/null
+++ b/src/pool/Admission.cpp
@@ -0,0 +1,49 @@
+/// \file
+/// Implements turnedAway().
+#include "pool/Admission.h"
+
+#include "pool/JobObjective.h"
+#include "pool/JobSpec.h"
+#include "pool/PoolLoad.h"
+
+#include <algorithm>
+
+namespace banyanworks::pool {
+
+namespace {
+
+/// The share of a pool that work of lower priorities can really use: up to a
+/// tenth is kept for urgent gangs, and gangs leave gaps.
+constexpr double UsableShare = 0.8;
+/// Even a flood of urgent work leaves this share in time.
+constexpr double LeastShare = 0.1;
+/// Callers come back at least so much later, and spread over as much again.
+constexpr Duration LeastWait = std::chrono::seconds(1);
+constexpr std::uint64_t SpreadSteps = 16;
+
+} // namespace
+
+std::optional<Duration> turnedAway(const JobSpec &Spec,
+                                   const ServiceLoad &Load) {
+  const QueueTerms &Terms = Spec.Terms;
+  bool Lasts = std::any_of(
+      Spec.Steps.begin(), Spec.Steps.end(),
+      [](const StepSpec &Step) { return Step.LongRunning || Step.FillsIdle; });
+  if (Terms.Priority == 0 || Spec.scheduled() || Lasts)
+    return std::nullopt;
+  Duration Ahead{};
+  for (const auto &[Priority, Time] : Load.Work)
+    if (Priority != 0 && Priority <= Terms.Priority)
+      Ahead += Time;
+  double Share = std::max(LeastShare, UsableShare - Load.UrgentShare);
+  Duration Chain = longestChain(Spec);
+  Duration End = scaled(Ahead, 1.0 / Share) + Chain;
+  Duration Late = End - objectiveOf(Chain, Terms) * LateFactor;
+  if (Late <= Duration::zero())
+    return std::nullopt;
+  Duration Wait = std::max(Late, LeastWait);
+  return Wait + Wait * static_cast<int>(Spec.Id.value() % SpreadSteps) /
+                    static_cast<int>(SpreadSteps);
+}
+
+} // namespace banyanworks::pool
--- a/src/pool/JobSpecJson.cpp
+++ b/src/pool/JobSpecJson.cpp
@@ -29,6 +29,8 @@
   Flag("may_run_twice", Step.MayRunTwice);
   Flag("long_running", Step.LongRunning);
   Flag("fills_idle", Step.FillsIdle);
+  if (Step.serves())
+    Out["tail_target_us"] = Step.TailTarget.count();
   if (Step.MaxPerWorker)
     Out["max_per_worker"] = Step.MaxPerWorker;
   if (Step.MayMiss)
@@ -54,6 +56,7 @@
   Step.MayRunTwice = In.value("may_run_twice", false);
   Step.LongRunning = In.value("long_running", false);
   Step.FillsIdle = In.value("fills_idle", false);
+  Step.TailTarget = Duration(In.value("tail_target_us", std::int64_t{0}));
   Step.MaxPerWorker = In.value("max_per_worker", 0U);
   Step.MayMiss = In.value("may_miss", 0U);
   Step.RequiredLabel = In.value("required_label", std::string());
@@ -78,8 +81,9 @@
               {"max_attempts", Spec.Terms.MaxAttempts},
               {"stretch", Spec.Terms.Stretch},
               {"slack_us", Spec.Terms.Slack.count()}};
-  if (Spec.Terms.Advised)
-    Out["advised"] = true;
+  if (Spec.Terms.Advice)
+    Out["advice_us"] = {Spec.Terms.Advice->Decision.count(),
+                        Spec.Terms.Advice->PerWorker.count()};
   if (Spec.scheduled()) {
     Out["occurrences"] = Spec.Occurrences;
     Out["first_due_us"] = Spec.FirstDue.time_since_epoch().count();
@@ -104,7 +108,11 @@
     Spec.Terms.MaxAttempts = In.at("max_attempts").get<std::uint32_t>();
     Spec.Terms.Stretch = In.at("stretch").get<double>();
     Spec.Terms.Slack = Duration(In.at("slack_us").get<std::int64_t>());
-    Spec.Terms.Advised = In.value("advised", false);
+    if (auto Advice = In.find("advice_us"); Advice != In.end()) {
+      Spec.Terms.Advice =
+          AdviceTerms{Duration(Advice->at(0).get<std::int64_t>()),
+                      Duration(Advice->at(1).get<std::int64_t>())};
+    }
     Spec.Occurrences = In.value("occurrences", 0U);
     Spec.FirstDue =
         WallTime(Duration(In.value("first_due_us", std::int64_t{0})));
--- a/src/pool/PoolOwner.cpp
+++ b/src/pool/PoolOwner.cpp
@@ -203,11 +203,10 @@
   }
   Ownership.lost();
   Scheduler.reset();
-  RenewalsOut.clear();
-  NextRenewal.clear();
-  AcknowledgedTo.clear();
+  Renewals.clear();
   FinalSince.clear();
   CommitOut = false;
+  AdviceOut = false;
   TurnPlanned = false;
   if (Served && RoleChanged)
     RoleChanged(false);
--- a/src/pool/PoolOwner.h
+++ b/src/pool/PoolOwner.h
@@ -16,6 +16,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 namespace banyanworks {
@@ -28,8 +29,10 @@
 
 namespace banyanworks::pool {
 
+class Adviser;
 class JobBoard;
 class WorkerLink;
+struct RenewOrder;
 
 /// The time limits of a PoolOwner.
 struct OwnerLimits {
@@ -45,6 +48,8 @@
   Duration ElectionRetry = std::chrono::milliseconds(400);
   Duration CommitTimeout = std::chrono::milliseconds(1000);
   Duration CommitRetry = std::chrono::milliseconds(50);
+  /// The pause after a question that the adviser did not answer.
+  Duration AdviceRetry = std::chrono::milliseconds(100);
   /// An owner that cannot renew its lease goes on renewing the workers' leases
   /// for so long, since the store may be down for all; a successor relies on
   /// this bound for workers that it cannot reach.
@@ -84,6 +89,8 @@
   void setDomainsOut(std::set<DomainId> Out);
   /// The directory of workers: an entry as it is now, or nothing if it is gone.
   void workerChanged(const WorkerId &Id, const PoolWorker *Entry);
+  /// The adviser of advised queues; without one their jobs wait.
+  void useAdviser(Adviser &Asked) { Policy = &Asked; }
   /// Called when the ownership comes and goes.
   void onRole(std::function<void(bool Owner)> Changed) {
     RoleChanged = std::move(Changed);
@@ -117,11 +124,23 @@
                   const TransactionResult &Result);
   std::string nextHead();
   void sendOrders(const PoolOrders &Orders);
+  void askAdviser();
+  /// The renewals of one worker's lease.
+  struct Renewal {
+    bool Out = false;
+    /// Not before then, unless there are ends to acknowledge.
+    TimePoint Next;
+    std::uint64_t AcknowledgedTo = 0;
+  };
   void renewWorkers();
   /// Renews the leases of a worker if that is due.
-  void renewIfDue(const WorkerId &Id, TimePoint Now);
-  void renewWorker(const WorkerId &Id);
-  TimePoint lapsesBy(const WorkerId &Id) const;
+  void renewIfDue(const RenewalState &State, TimePoint Now);
+  void renewWorker(const RenewalState &State, Renewal &Its);
+  void renewed(const WorkerId &Id, const RenewOrder &Order, TimePoint SentAt,
+               const WorkerReport &Report);
+  /// Renews a worker's lease after a pause if that is due then.
+  void renewLater(const WorkerId &Id, Duration Pause);
+  TimePoint lapsesBy(const RenewalState &State) const;
   void removeFinalJobs();
 
   AsyncStore &Store;
@@ -134,6 +153,7 @@
   PoolLimits Scheduling;
   Random Generator;
   std::function<void(bool)> RoleChanged;
+  Adviser *Policy = nullptr;
 
   Role Phase = Role::Follower;
   bool Retired = false;
@@ -149,13 +169,12 @@
   PoolConfiguration Configuration;
   std::set<DomainId> DomainsOut;
   std::map<WorkerId, PoolWorker> Directory;
-  std::set<WorkerId> RenewalsOut;
-  std::map<WorkerId, TimePoint> NextRenewal;
+  std::unordered_map<WorkerId, Renewal> Renewals;
   bool TurnPlanned = false;
   TimePoint LastTurn;
   bool CommitOut = false;
+  bool AdviceOut = false;
   std::uint64_t Commits = 0;
-  std::map<WorkerId, std::uint64_t> AcknowledgedTo;
   std::map<JobId, TimePoint> FinalSince;
 };
 
--- a/src/pool/PoolOwnerTurn.cpp
+++ b/src/pool/PoolOwnerTurn.cpp
@@ -5,6 +5,7 @@
 
 #include "base/DecisionLog.h"
 #include "base/Timers.h"
+#include "pool/Adviser.h"
 #include "pool/JobBoard.h"
 #include "pool/JobName.h"
 #include "pool/StoreKeys.h"
@@ -47,14 +48,15 @@
     return;
   }
   TimePoint Now = Clock.now();
-  for (const WorkerId &Id : Scheduler->workers()) {
-    bool Unheard = Scheduler->silent(Id) || !Scheduler->heard(Id);
-    if (Unheard && Scheduler->holdsRuns(Id) && Now > lapsesBy(Id))
-      Scheduler->leasesLapsed(Id);
-  }
+  Scheduler->visitWorkers([this, Now](const RenewalState &State) {
+    bool Unheard = State.Silent || !State.Heard;
+    if (Unheard && State.HoldsRuns && Now > lapsesBy(State))
+      Scheduler->leasesLapsed(State.Worker->Id);
+  });
   PoolOrders Orders = Scheduler->pass(Now, Clock.wallNow());
   sendOrders(Orders);
   commit();
+  askAdviser();
   renewWorkers();
   removeFinalJobs();
   if (TurnPlanned)
@@ -81,6 +83,16 @@
         turnSoon();
     });
   }
+  for (const PaceOrder &Order : Orders.Paces) {
+    const PoolWorker *Worker = Scheduler->worker(Order.Worker);
+    Workers.pace(*Worker, Order, [this, Mine, Order](OrderResult Result) {
+      if (Mine != Term)
+        return;
+      Scheduler->paceAnswered(Order, Result, Clock.now());
+      if (Result != OrderResult::Done)
+        turnSoon();
+    });
+  }
   for (const StopOrder &Order : Orders.Stops) {
     const PoolWorker *Worker = Scheduler->worker(Order.Worker);
     Workers.stop(*Worker, Order, [this, Mine, Order](OrderResult Result) {
@@ -160,73 +172,121 @@
   turn();
 }
 
-TimePoint PoolOwner::lapsesBy(const WorkerId &Id) const {
-  if (Scheduler->heard(Id))
-    return Workers.lapsesBy(Id);
+void PoolOwner::askAdviser() {
+  if (!Policy || AdviceOut || !Scheduler->adviceWanted())
+    return;
+  // The adviser handles one question of a daemon at a time.
+  AdviceOut = true;
+  std::uint64_t Mine = Term;
+  TimePoint SentAt = Clock.now();
+  AdviceQuestion Question = *Scheduler->adviceWanted();
+  Policy->ask(
+      Question, [this, Mine, SentAt, Question](const AdviceAnswer &Answer) {
+        if (Mine != Term)
+          return;
+        Scheduler->advised(Question, Answer, SentAt);
+        Clock.after(Answer.Answered ? Duration::zero() : Limits.AdviceRetry,
+                    [this, Mine] {
+                      if (Mine != Term)
+                        return;
+                      AdviceOut = false;
+                      turnSoon();
+                    });
+      });
+}
+
+TimePoint PoolOwner::lapsesBy(const RenewalState &State) const {
+  TimePoint Granted = Workers.lapsesBy(State.Worker->Id);
+  if (State.Heard)
+    return Granted;
   auto Lease =
       scaled(Limits.LongestWorkerLease, 1.0 / (1.0 - WorkerClockError));
-  return std::max(Workers.lapsesBy(Id),
-                  TookOverAt + Limits.RenewWithoutStore + Lease);
+  return std::max(Granted, TookOverAt + Limits.RenewWithoutStore + Lease);
 }
 
 void PoolOwner::renewWorkers() {
   TimePoint Now = Clock.now();
-  for (const WorkerId &Id : Scheduler->workers())
-    renewIfDue(Id, Now);
+  Scheduler->visitWorkers(
+      [this, Now](const RenewalState &State) { renewIfDue(State, Now); });
+}
+
+void PoolOwner::renewLater(const WorkerId &Id, Duration Pause) {
+  std::uint64_t Mine = Term;
+  Clock.after(Pause, [this, Mine, Id] {
+    if (Mine != Term || !Scheduler)
+      return;
+    if (auto State = Scheduler->renewalState(Id))
+      renewIfDue(*State, Clock.now());
+  });
 }
 
-void PoolOwner::renewIfDue(const WorkerId &Id, TimePoint Now) {
-  const PoolWorker *Worker = Scheduler->worker(Id);
-  if (!Worker || Worker->Address.empty() || RenewalsOut.contains(Id))
+void PoolOwner::renewIfDue(const RenewalState &State, TimePoint Now) {
+  if (State.Worker->Address.empty())
     return;
-  bool Acknowledges = AcknowledgedTo[Id] < Scheduler->acknowledged(Id);
-  bool Needed = Acknowledges || Scheduler->holdsRuns(Id) ||
-                !Scheduler->heard(Id) || Scheduler->hasOpenEnds(Id);
-  auto Next = NextRenewal.find(Id);
-  bool Early = Next != NextRenewal.end() && Now < Next->second;
-  if (Needed && (Acknowledges || !Early))
-    renewWorker(Id);
+  Renewal &Its = Renewals[State.Worker->Id];
+  if (Its.Out)
+    return;
+  bool Acknowledges = Its.AcknowledgedTo < State.Acknowledged;
+  bool Needed =
+      Acknowledges || State.HoldsRuns || !State.Heard || State.HasOpenEnds;
+  if (Needed && (Acknowledges || Now >= Its.Next))
+    renewWorker(State, Its);
 }
 
-void PoolOwner::renewWorker(const WorkerId &Id) {
+void PoolOwner::renewWorker(const RenewalState &State, Renewal &Its) {
   RenewOrder Order;
   // A worker may have started anew under its id. It counts its ends anew, and
   // an old cursor would make it forget ends that nobody saw; so the cursor is
   // sent only when there is something to acknowledge.
-  if (!Scheduler->silent(Id) &&
-      AcknowledgedTo[Id] < Scheduler->acknowledged(Id))
-    Order.Acknowledged = Scheduler->acknowledged(Id);
-  Order.Extend = !Scheduler->silent(Id) &&
-                 Clock.now() - RenewedAt < Limits.RenewWithoutStore;
-  if (Scheduler->silent(Id))
+  if (!State.Silent && Its.AcknowledgedTo < State.Acknowledged)
+    Order.Acknowledged = State.Acknowledged;
+  Order.Extend =
+      !State.Silent && Clock.now() - RenewedAt < Limits.RenewWithoutStore;
+  if (State.Silent)
     Order.Timeout = Limits.SilentTimeout;
   // A worker with ends that cannot be acknowledged yet would answer at once.
-  if (Scheduler->holdsRuns(Id) && !Scheduler->hasOpenEnds(Id) && Order.Extend)
+  if (State.HoldsRuns && !State.HasOpenEnds && Order.Extend)
     Order.Wait = Limits.RenewalWait;
-  RenewalsOut.insert(Id);
+  Its.Out = true;
   std::uint64_t Mine = Term;
   TimePoint SentAt = Clock.now();
-  Workers.renew(
-      *Scheduler->worker(Id), Order,
-      [this, Mine, Id, Order, SentAt](const WorkerReport &Report) {
-        if (Mine != Term)
-          return;
-        TimePoint Now = Clock.now();
-        RenewalsOut.erase(Id);
-        bool Heard = Report.Result == OrderResult::Done;
-        if (Heard)
-          AcknowledgedTo[Id] = Order.Acknowledged;
-        NextRenewal[Id] = Now + (Heard ? Duration::zero() : Limits.SilentRetry);
-        Scheduler->workerReported(Id, Report, SentAt, Now);
-        // A worker that started anew counts its ends anew.
-        if (AcknowledgedTo[Id] > Scheduler->acknowledged(Id))
-          AcknowledgedTo[Id] = 0;
-        if (Heard && Scheduler->hasOpenEnds(Id))
-          NextRenewal[Id] = Now + Limits.RenewalWait;
-        if (!Heard || !Report.Ended.empty() || Scheduler->hasChanges())
-          turnSoon();
-        renewWorkers();
-      });
+  Workers.renew(*State.Worker, Order,
+                [this, Mine, Id = State.Worker->Id, Order,
+                 SentAt](const WorkerReport &Report) {
+                  if (Mine == Term)
+                    renewed(Id, Order, SentAt, Report);
+                });
+}
+
+void PoolOwner::renewed(const WorkerId &Id, const RenewOrder &Order,
+                        TimePoint SentAt, const WorkerReport &Report) {
+  TimePoint Now = Clock.now();
+  Renewal &Its = Renewals[Id];
+  Its.Out = false;
+  bool Heard = Report.Result == OrderResult::Done;
+  if (Heard)
+    Its.AcknowledgedTo = Order.Acknowledged;
+  Duration Pause = Heard ? Duration::zero() : Limits.SilentRetry;
+  Scheduler->workerReported(Id, Report, SentAt, Now);
+  auto State = Scheduler->renewalState(Id);
+  if (!State) {
+    Renewals.erase(Id);
+  } else {
+    // A worker that started anew counts its ends anew.
+    if (Its.AcknowledgedTo > State->Acknowledged)
+      Its.AcknowledgedTo = 0;
+    if (Heard && State->HasOpenEnds)
+      Pause = Limits.RenewalWait;
+    Its.Next = Now + Pause;
+  }
+  if (!Heard || !Report.Ended.empty() || Scheduler->hasChanges())
+    turnSoon();
+  if (!State)
+    return;
+  if (Pause > Duration::zero())
+    renewLater(Id, Pause);
+  else
+    renewIfDue(*State, Now);
 }
 
 void PoolOwner::removeFinalJobs() {
--- a/src/pool/PoolScheduler.cpp
+++ b/src/pool/PoolScheduler.cpp
@@ -94,8 +94,9 @@
       Slot &On = Slots[Group.Workers[Member]];
       On.Info.Id = Group.Workers[Member];
       PlacedRun Run;
-      Run.Room = Spec.Steps[Group.Step].PerTask;
+      Run.Room = Spec.Steps[Group.Step].held();
       Run.Phase = RunPhase::Inherited;
+      Run.PacePercent.reset();
       Run.OrderedAt = Now;
       On.Used += Run.Room;
       On.Runs.emplace(RunKey(Task, Group.Run), Run);
@@ -123,6 +124,7 @@
   if (!isFinal(Old.Status) || Old.Live > 0 || Old.Version != Old.Committed)
     return false;
   Jobs.erase(Found);
+  Advice.forget(Id);
   return true;
 }
 
@@ -269,36 +271,27 @@
   return Found == Slots.end() ? nullptr : &Found->second.Info;
 }
 
-std::vector<WorkerId> PoolScheduler::workers() const {
-  std::vector<WorkerId> Result;
-  for (const auto &Entry : Slots)
-    Result.push_back(Entry.first);
-  return Result;
-}
-
-std::uint64_t PoolScheduler::acknowledged(const WorkerId &Id) const {
-  auto Found = Slots.find(Id);
-  return Found == Slots.end() ? 0 : Found->second.Acknowledged;
-}
-
-bool PoolScheduler::hasOpenEnds(const WorkerId &Id) const {
-  auto Found = Slots.find(Id);
-  return Found != Slots.end() && !Found->second.OpenEnds.empty();
-}
-
-bool PoolScheduler::silent(const WorkerId &Id) const {
-  auto Found = Slots.find(Id);
-  return Found != Slots.end() && Found->second.Silent;
+RenewalState PoolScheduler::stateOf(const Slot &On) {
+  return {&On.Info,
+          On.Silent,
+          On.Heard,
+          !On.Runs.empty(),
+          !On.OpenEnds.empty(),
+          On.Acknowledged};
 }
 
-bool PoolScheduler::holdsRuns(const WorkerId &Id) const {
+std::optional<RenewalState>
+PoolScheduler::renewalState(const WorkerId &Id) const {
   auto Found = Slots.find(Id);
-  return Found != Slots.end() && !Found->second.Runs.empty();
+  if (Found == Slots.end())
+    return std::nullopt;
+  return stateOf(Found->second);
 }
 
-bool PoolScheduler::heard(const WorkerId &Id) const {
-  auto Found = Slots.find(Id);
-  return Found != Slots.end() && Found->second.Heard;
+void PoolScheduler::visitWorkers(
+    const std::function<void(const RenewalState &)> &Visit) const {
+  for (const auto &Entry : Slots)
+    Visit(stateOf(Entry.second));
 }
 
 std::size_t PoolScheduler::waitingJobs() const {
--- a/src/pool/PoolScheduler.h
+++ b/src/pool/PoolScheduler.h
@@ -4,6 +4,8 @@
 #ifndef BANYANWORKS_POOL_POOLSCHEDULER_H
 #define BANYANWORKS_POOL_POOLSCHEDULER_H
 
+#include "pool/AdviceBook.h"
+#include "pool/FillPace.h"
 #include "pool/GangHold.h"
 #include "pool/JobProgress.h"
 #include "pool/PoolConfiguration.h"
@@ -16,6 +18,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
@@ -48,6 +51,12 @@
   /// How long a plan for a gang that waits is kept; the estimates it rests on
   /// are no better than that.
   Duration HoldPlan = std::chrono::milliseconds(200);
+  /// How often the order to stop is repeated to fillers whose neighbours stay
+  /// slow; well within the seconds that this may last.
+  Duration PaceRepeat = std::chrono::seconds(1);
+  /// How many workers the adviser is asked about at once: enough for most
+  /// gangs, while its answer takes longer with each.
+  std::size_t WorkersPerQuestion = 30;
   ReserveLimits Reserve;
 };
 
@@ -66,6 +75,23 @@
 struct PoolOrders {
   std::vector<StartOrder> Starts;
   std::vector<StopOrder> Stops;
+  std::vector<PaceOrder> Paces;
+};
+
+/// What the renewal of a worker's lease depends on.
+struct RenewalState {
+  /// Never null; its address is empty if the directory has never listed it.
+  const PoolWorker *Worker = nullptr;
+  /// It did not answer its last renewal.
+  bool Silent = false;
+  /// It has answered a renewal of ours.
+  bool Heard = false;
+  /// Some run may be on it.
+  bool HoldsRuns = false;
+  /// It holds ends that may not be acknowledged yet.
+  bool HasOpenEnds = false;
+  /// The highest end that it may forget.
+  std::uint64_t Acknowledged = 0;
 };
 
 class PoolScheduler {
@@ -94,12 +120,19 @@
   void startAnswered(const StartOrder &Order, OrderResult Result,
                      TimePoint Now);
   void stopAnswered(const StopOrder &Order, OrderResult Result, TimePoint Now);
+  void paceAnswered(const PaceOrder &Order, OrderResult Result, TimePoint Now);
   /// Every lease on the worker has ended: nothing runs there any more.
   void leasesLapsed(const WorkerId &Id);
 
   /// Places what can be placed and returns the orders that are due.
   PoolOrders pass(TimePoint Now, WallTime Wall);
 
+  /// The question that the adviser is to be asked next; nothing if none is
+  /// needed.
+  const std::optional<AdviceQuestion> &adviceWanted() const { return Question; }
+  void advised(const AdviceQuestion &Asked, const AdviceAnswer &Answer,
+               TimePoint SentAt);
+
   /// Jobs to be recorded, at most \p Most.
   std::vector<JobChange> changes(std::size_t Most) const;
   bool hasChanges() const;
@@ -109,18 +142,13 @@
 
   /// The worker as the directory described it last; null if it is unknown.
   const PoolWorker *worker(const WorkerId &Id) const;
-  /// All workers, with those that only hold runs still.
-  std::vector<WorkerId> workers() const;
-  /// The highest end that the worker may forget.
-  std::uint64_t acknowledged(const WorkerId &Id) const;
-  /// True if the worker holds ends that may not be acknowledged yet.
-  bool hasOpenEnds(const WorkerId &Id) const;
-  /// True if the worker did not answer its last renewal.
-  bool silent(const WorkerId &Id) const;
-  /// True if some run may be on the worker.
-  bool holdsRuns(const WorkerId &Id) const;
-  /// True once the worker has answered a renewal of ours.
-  bool heard(const WorkerId &Id) const;
+  /// What the renewal of the worker's lease depends on; nothing if it is
+  /// unknown.
+  std::optional<RenewalState> renewalState(const WorkerId &Id) const;
+  /// Visits all workers, with those that only hold runs still. Leases may be
+  /// ended by leasesLapsed() meanwhile.
+  void
+  visitWorkers(const std::function<void(const RenewalState &)> &Visit) const;
   /// True once a worker has seen a higher fencing token than ours.
   bool fenced() const { return Fenced; }
   /// Jobs that are neither final nor started.
@@ -164,6 +192,7 @@
     TimePoint RefusedUntil;
     std::map<JobId, TimePoint> Failures;
     WorkerPace Pace;
+    FillPace Filling;
     /// Slow, or failing the tasks of several jobs, in this turn.
     bool Suspect = false;
     /// Only urgent work is placed here in this turn.
@@ -183,6 +212,11 @@
     /// 0 while the objective can be met, 1 while the job can end within three
     /// times of it, else 2.
     std::uint32_t Lateness = 0;
+
+    StepKey key() const {
+      const TaskGroup &First = *Groups.front();
+      return {Owner->Spec.Id, First.Occurrence, First.Step};
+    }
   };
   /// A request that found no room. Within a turn room only shrinks, so that one
   /// that asks for no less does not find any either.
@@ -223,9 +257,13 @@
   static bool needsRecord(const Job &Of);
   void conclude(Job &Changed, JobStatus Status);
 
+  /// Whether the worker can take new tasks of the step, were it advised.
+  bool usable(const Slot &On, const Candidate &For, TimePoint Now) const;
   bool eligible(const Slot &On, const Candidate &For, TimePoint Now) const;
   std::vector<Candidate> candidates(WallTime Wall);
   std::vector<WorkerRoom> rooms(const Candidate &For, TimePoint Now) const;
+  /// Notes what the adviser has to be asked so that the step can be placed.
+  void needAdvice(const Candidate &For, TimePoint Now);
   bool knownToFail(const PlacementRequest &Request,
                    const Candidate &Next) const;
   bool isReserved(const Slot &On, const Candidate &For, TimePoint Now) const;
@@ -244,11 +282,18 @@
   double lossOf(const TaskGroup &Group, const Job &Owner, TimePoint Now) const;
   void orderStarts(PoolOrders &Orders, TimePoint Now);
   void orderStops(PoolOrders &Orders, TimePoint Now);
+  void orderPaces(PoolOrders &Orders, TimePoint Now);
   bool mayOrder(const Slot &On, const Job &Owner) const;
   void giveUpGangs(TimePoint Now);
   /// Compares a task's progress with its own before.
   static void samplePace(Slot &On, PlacedRun &Run, std::uint32_t Percent,
                          TimePoint Now);
+  /// Judges from a report how fast fillers may work on the worker.
+  void observeServing(Slot &On, const WorkerReport &Report, TimePoint Now);
+  /// Whether a task that fills would find idle processor time, and no task that
+  /// it could slow down.
+  bool idleFor(const Slot &On, const StepSpec &Filler) const;
+  static RenewalState stateOf(const Slot &On);
   /// Finds the workers that are better left alone now.
   void judgeWorkers(TimePoint Now);
   void moveFromSlow(TimePoint Now);
@@ -262,6 +307,8 @@
   std::map<WorkerId, Slot> Slots;
   std::map<JobId, Job> Jobs;
   UrgentReserve Reserve;
+  AdviceBook Advice;
+  std::optional<AdviceQuestion> Question;
   /// Room for the first gang in the order that does not fit.
   std::optional<GangHold> Hold;
   JobId HoldOwner;
--- a/src/pool/PoolSchedulerPass.cpp
+++ b/src/pool/PoolSchedulerPass.cpp
@@ -5,6 +5,7 @@
 
 #include "base/DecisionLog.h"
 #include "pool/JobName.h"
+#include "pool/JobObjective.h"
 
 #include <algorithm>
 #include <tuple>
@@ -14,38 +15,17 @@
 
 namespace {
 
-/// A job that ends within this many times its objective still counts.
-constexpr int LateFactor = 3;
 /// An accelerator is worth this many cores when losses are compared.
 constexpr double CoresPerAccelerator = 8.0;
 /// Failures older than this say nothing about a worker any more.
 constexpr Duration FailureMemory = std::chrono::seconds(10);
+/// A long-running task does not make room within any span that is planned.
+constexpr Duration LastsOn = std::chrono::hours(1);
 /// A worker on which this many jobs failed lately is left alone.
 constexpr std::size_t FailuresToAvoid = 2;
 /// When more than one in so many workers looks bad, all are used.
 constexpr std::size_t MostSuspects = 3;
 
-/// The longest chain of estimated work from the start of \p From on.
-Duration chainFrom(const JobSpec &Spec, std::uint32_t From) {
-  std::vector<Duration> Longest(Spec.Steps.size(), Duration::zero());
-  Duration Best{};
-  for (std::uint32_t Step = From; Step < Spec.Steps.size(); ++Step) {
-    Duration Before{};
-    bool Reached = Step == From;
-    for (std::uint32_t Earlier : Spec.Steps[Step].After) {
-      if (Earlier < From || Longest[Earlier] == Duration::zero())
-        continue;
-      Reached = true;
-      Before = std::max(Before, Longest[Earlier]);
-    }
-    if (!Reached)
-      continue;
-    Longest[Step] = Before + std::max(Spec.Steps[Step].Estimate, Duration(1));
-    Best = std::max(Best, Longest[Step]);
-  }
-  return Best;
-}
-
 double coreSeconds(const Resources &Room, Duration Time) {
   return (static_cast<double>(Room.MilliCores) / 1000.0 +
           CoresPerAccelerator * Room.Accelerators) *
@@ -54,14 +34,64 @@
 
 } // namespace
 
-bool PoolScheduler::eligible(const Slot &On, const Candidate &For,
-                             TimePoint Now) const {
+bool PoolScheduler::usable(const Slot &On, const Candidate &For,
+                           TimePoint Now) const {
   if (!On.Listed || !On.Heard || On.Silent || On.Suspect || On.Info.Draining ||
       Now < On.RefusedUntil || DomainsOut.contains(On.Info.Domain))
     return false;
   return offers(On.Info, For.Terms.Service, *For.Step);
 }
 
+bool PoolScheduler::eligible(const Slot &On, const Candidate &For,
+                             TimePoint Now) const {
+  return usable(On, For, Now) &&
+         (!For.Terms.Advice || Advice.ticket(For.key(), On.Info, Now));
+}
+
+void PoolScheduler::needAdvice(const Candidate &For, TimePoint Now) {
+  PlacementRequest Request = requestFor(For);
+  StepKey Step = For.key();
+  // Those that have room now come first.
+  std::vector<std::pair<std::uint32_t, const PoolWorker *>> Askable;
+  for (const auto &[Id, On] : Slots) {
+    if (!usable(On, For, Now) || !Advice.askable(Step, On.Info, Now))
+      continue;
+    WorkerRoom Room;
+    Room.Worker = &On.Info;
+    Room.Free = On.Info.Capacity;
+    if (tasksThatFit(Request, Room) == 0)
+      continue;
+    Room.Free = On.Info.Capacity - On.Used;
+    Askable.emplace_back(tasksThatFit(Request, Room), &On.Info);
+  }
+  if (Askable.empty())
+    return;
+  std::stable_sort(Askable.begin(), Askable.end(),
+                   [](const auto &Left, const auto &Right) {
+                     return Left.first > Right.first;
+                   });
+  Askable.resize(std::min(Askable.size(), Limits.WorkersPerQuestion));
+  Question.emplace();
+  Question->Step = Step;
+  for (const auto &Entry : Askable)
+    Question->Workers.emplace_back(Entry.second->Id, Entry.second->Life);
+  Question->Expected =
+      For.Terms.Advice->Decision +
+      For.Terms.Advice->PerWorker * static_cast<int>(Askable.size());
+}
+
+void PoolScheduler::advised(const AdviceQuestion &Asked,
+                            const AdviceAnswer &Answer, TimePoint SentAt) {
+  Advice.answered(Asked, Answer, SentAt);
+  TaskKey Step{Asked.Step.Job, Asked.Step.Occurrence, Asked.Step.Step, 0};
+  Log.write(Answer.Answered ? LogLevel::Routine : LogLevel::Notice,
+            "step.advised",
+            {{"task", taskName(Step)},
+             {"asked", Asked.Workers.size()},
+             {"allowed", Answer.Allowed.size()},
+             {"answered", Answer.Answered ? "yes" : "no"}});
+}
+
 std::vector<PoolScheduler::Candidate> PoolScheduler::candidates(WallTime Wall) {
   std::vector<Candidate> Result;
   for (auto &[Id, Waiting] : Jobs) {
@@ -69,12 +99,9 @@
       continue;
     const JobSpec &Spec = Waiting.Spec;
     QueueTerms Terms = termsOf(Spec);
-    if (Waiting.Chain == Duration::zero()) {
-      for (std::uint32_t Step = 0; Step < Spec.Steps.size(); ++Step)
-        if (Spec.Steps[Step].After.empty())
-          Waiting.Chain = std::max(Waiting.Chain, chainFrom(Spec, Step));
-    }
-    Duration Objective = scaled(Waiting.Chain, Terms.Stretch) + Terms.Slack;
+    if (Waiting.Chain == Duration::zero())
+      Waiting.Chain = longestChain(Spec);
+    Duration Objective = objectiveOf(Waiting.Chain, Terms);
     Candidate Next;
     auto Flush = [&] {
       if (!Next.Groups.empty())
@@ -100,7 +127,8 @@
       Next.Terms = Terms;
       Duration Rest = chainFrom(Spec, Group.Step);
       Next.LatestStart = Due + Objective - Rest;
-      if (Wall > Next.LatestStart)
+      // A long-running step is of use from whenever it starts.
+      if (Wall > Next.LatestStart && !Next.Step->LongRunning)
         Next.Lateness = Wall > Due + Objective * LateFactor - Rest ? 2 : 1;
     }
     Flush();
@@ -133,6 +161,8 @@
     if (Hold && For.Terms.Priority != 0)
       Room.Free = Hold->usable(Id, Room.Free, For.Step->Estimate);
     Room.Penalty = On.Failures.empty() ? 0 : 1;
+    if (For.Step->FillsIdle && !idleFor(On, *For.Step))
+      ++Room.Penalty;
     if (For.Step->MaxPerWorker != 0) {
       for (const auto &Entry : On.Runs) {
         const TaskKey &Task = Entry.first.first;
@@ -163,7 +193,7 @@
                    Group->FirstIndex + Member};
       Slot &On = Slots.at(Chosen[At]);
       PlacedRun Run;
-      Run.Room = Next.Step->PerTask;
+      Run.Room = Next.Step->held();
       Run.PlannedVersion = Next.Owner->Version;
       Run.OrderedAt = Now;
       On.Used += Run.Room;
@@ -192,7 +222,7 @@
 PlacementRequest PoolScheduler::requestFor(const Candidate &Next) const {
   PlacementRequest Request;
   const StepSpec &Step = *Next.Step;
-  Request.PerTask = Step.PerTask;
+  Request.PerTask = Step.held();
   Request.Count =
       Step.Gang ? Step.Tasks : static_cast<std::uint32_t>(Next.Groups.size());
   Request.Whole = Step.Gang;
@@ -205,11 +235,13 @@
 Duration PoolScheduler::remaining(const RunKey &Key, const PlacedRun &Run,
                                   TimePoint Now) {
   Duration Spent = Now - Run.OrderedAt;
-  if (Run.Percent > 0 && Run.Percent < 100)
-    return Spent * (100 - Run.Percent) / Run.Percent;
   GroupRef Ref = find(Key.first);
   if (!Ref.Group || Run.StopWanted)
     return Limits.ReclaimTime;
+  if (Ref.Owner->Spec.Steps[Key.first.Step].LongRunning)
+    return LastsOn;
+  if (Run.Percent > 0 && Run.Percent < 100)
+    return Spent * (100 - Run.Percent) / Run.Percent;
   Duration Estimate = Ref.Owner->Spec.Steps[Key.first.Step].Estimate;
   return std::max(Estimate - Spent, Estimate / 10);
 }
@@ -267,13 +299,15 @@
   const StepSpec &Step = *Next.Step;
   PlacementRequest Request = requestFor(Next);
   Request.MaySpan = MaySpan;
-  if (knownToFail(Request, Next))
+  // What the adviser allows differs between steps that are alike.
+  if (!Next.Terms.Advice && knownToFail(Request, Next))
     return false;
   std::vector<WorkerRoom> Rooms = rooms(Next, Now);
   std::vector<std::size_t> Found = placeTasks(Request, Rooms);
   if (Found.empty()) {
-    Refusals.push_back(
-        {Request, Next.Terms.Service, Step.RequiredLabel, Step.Estimate});
+    if (!Next.Terms.Advice)
+      Refusals.push_back(
+          {Request, Next.Terms.Service, Step.RequiredLabel, Step.Estimate});
     return false;
   }
   std::vector<WorkerId> Chosen;
@@ -323,7 +357,7 @@
     double Cost = 0.0;
   };
   Resources Free = On.Info.Capacity - On.Used;
-  Resources Wanted = For.Step->PerTask * static_cast<std::int32_t>(Tasks);
+  Resources Wanted = For.Step->held() * static_cast<std::int32_t>(Tasks);
   std::vector<Choice> Choices;
   for (const auto &[Key, Run] : On.Runs) {
     if (Run.StopWanted) {
@@ -443,6 +477,7 @@
     if (Now < On.ReservedUntil)
       Reclaiming.insert(On.ReservedFor);
   Refusals.clear();
+  Question.reset();
   std::optional<GangHold> LastHold = std::exchange(Hold, std::nullopt);
   bool ReserveKnown = false;
   for (Candidate &Next : candidates(Wall)) {
@@ -460,6 +495,8 @@
       if (!Placed && Urgent)
         reclaim(Next, false, Now);
     }
+    if (Next.Terms.Advice && !Next.Groups.empty() && !Question)
+      needAdvice(Next, Now);
     if (Placed && Next.Groups.empty() && Reclaiming.contains(Id)) {
       for (auto &[Other, On] : Slots)
         if (On.ReservedFor == Id)
@@ -502,9 +539,20 @@
         Run.Phase = RunPhase::Ordered;
         Run.OrderedAt = Now;
       }
+      std::string Ticket;
+      if (termsOf(Ref.Owner->Spec).Advice) {
+        const std::string *Held =
+            Advice.ticket({Task.Job, Task.Occurrence, Task.Step}, On.Info, Now);
+        if (!Held) {
+          abort(*Ref.Owner, *Ref.Group, "ticket_over");
+          break;
+        }
+        Ticket = *Held;
+      }
       Run.OrderOut = true;
       Orders.Starts.push_back({Id, Task, Current->first.second,
-                               Ref.Owner->Spec.Program, Ref.Group->Checkpoint});
+                               Ref.Owner->Spec.Program, Ref.Group->Checkpoint,
+                               std::move(Ticket)});
     }
   }
 }
@@ -521,6 +569,37 @@
   }
 }
 
+void PoolScheduler::orderPaces(PoolOrders &Orders, TimePoint Now) {
+  for (auto &[Id, On] : Slots) {
+    for (auto &[Key, Run] : On.Runs) {
+      if (Run.PacePercent == On.Filling.percent() || Run.PaceOut ||
+          Run.StopWanted || Run.Phase != RunPhase::Confirmed ||
+          Now < Run.NextPace || On.Info.Address.empty())
+        continue;
+      GroupRef Ref = find(Key.first);
+      if (!Ref.Group || !Ref.Owner->Spec.Steps[Key.first.Step].FillsIdle)
+        continue;
+      Run.PaceOut = true;
+      Orders.Paces.push_back({Id, Key.first, Key.second, On.Filling.percent()});
+    }
+  }
+}
+
+bool PoolScheduler::idleFor(const Slot &On, const StepSpec &Filler) const {
+  std::int64_t Idle = On.Info.Capacity.MilliCores - On.Used.MilliCores;
+  for (const auto &Entry : On.Runs) {
+    auto Owner = Jobs.find(Entry.first.first.Job);
+    if (Owner == Jobs.end())
+      continue;
+    const StepSpec &Step = Owner->second.Spec.Steps[Entry.first.first.Step];
+    if (Step.serves())
+      return false;
+    if (Step.FillsIdle)
+      Idle -= Step.PerTask.MilliCores;
+  }
+  return Idle >= Filler.PerTask.MilliCores;
+}
+
 void PoolScheduler::giveUpGangs(TimePoint Now) {
   for (auto &[Id, On] : Slots) {
     for (auto At = On.Runs.begin(); At != On.Runs.end(); ++At) {
@@ -620,6 +699,7 @@
   PoolOrders Orders;
   orderStarts(Orders, Now);
   orderStops(Orders, Now);
+  orderPaces(Orders, Now);
   return Orders;
 }
 
--- a/src/pool/PoolSchedulerReports.cpp
+++ b/src/pool/PoolSchedulerReports.cpp
@@ -53,6 +53,8 @@
     return "other_life";
   case OrderResult::Malformed:
     return "malformed";
+  case OrderResult::NoTicket:
+    return "no_ticket";
   case OrderResult::Unknown:
     return "no_answer";
   }
@@ -99,6 +101,40 @@
   for (const ReportedRun &Seen : Report.Running)
     adopt(On, Seen, SentAt, Now);
   dropUnreported(On, Report, SentAt);
+  observeServing(On, Report, Now);
+}
+
+void PoolScheduler::observeServing(Slot &On, const WorkerReport &Report,
+                                   TimePoint Now) {
+  std::optional<double> Worst;
+  for (const ReportedRun &Seen : Report.Running) {
+    GroupRef Ref = find(Seen.Task);
+    if (!Ref.Group || !Ref.Owner->Spec.Steps[Seen.Task.Step].serves())
+      continue;
+    double Target = toSeconds(Ref.Owner->Spec.Steps[Seen.Task.Step].TailTarget);
+    Worst = std::max(Worst.value_or(0.0), Seen.TailMs / 1000.0 / Target);
+  }
+  std::uint32_t Before = On.Filling.percent();
+  if (Worst)
+    On.Filling.observe(*Worst, Now);
+  else
+    On.Filling.alone();
+  // An older order that was carried out late may have let fillers go on.
+  if (Before == 0 && Worst && *Worst > 1.0) {
+    for (auto &[Key, Run] : On.Runs) {
+      if (Run.PacePercent != 0U)
+        continue;
+      Run.PacePercent.reset();
+      Run.NextPace = Now + Limits.PaceRepeat;
+    }
+  }
+  if (On.Filling.percent() != Before) {
+    Log.write(LogLevel::Routine, "worker.fill_pace",
+              {{"worker", On.Info.Id.str()},
+               {"percent", On.Filling.percent()},
+               {"tail_percent_of_target",
+                static_cast<std::int64_t>(Worst.value_or(0.0) * 100)}});
+  }
 }
 
 void PoolScheduler::takeEnd(Slot &On, const ReportedEnd &End, TimePoint Now) {
@@ -168,7 +204,7 @@
   if (Found == On.Runs.end()) {
     // An order that nobody waits for any more was carried out.
     PlacedRun Stray;
-    Stray.Room = Ref.Group ? Ref.Owner->Spec.Steps[Seen.Task.Step].PerTask
+    Stray.Room = Ref.Group ? Ref.Owner->Spec.Steps[Seen.Task.Step].held()
                            : On.Info.Capacity;
     Stray.StopWanted = true;
     On.Used += Stray.Room;
@@ -187,7 +223,10 @@
     Run.Phase = RunPhase::Confirmed;
     Run.ConfirmedAt = SentAt;
   }
-  samplePace(On, Run, Seen.Percent, Now);
+  // A filler's progress follows what others leave idle, and its pace.
+  bool Fills = Ref.Group && Ref.Owner->Spec.Steps[Seen.Task.Step].FillsIdle;
+  if (!Fills)
+    samplePace(On, Run, Seen.Percent, Now);
   Run.Percent = Seen.Percent;
   if (Ref.Group && Ref.Group->Run == Seen.Run && !Seen.Checkpoint.empty())
     Ref.Group->Checkpoint = Seen.Checkpoint;
@@ -303,11 +342,15 @@
   case OrderResult::Unhealthy:
   case OrderResult::OtherLife:
   case OrderResult::Malformed:
+    On.RefusedUntil = Now + Limits.RefusalPause;
+    break;
+  case OrderResult::NoTicket:
+    Advice.refused({Order.Task.Job, Order.Task.Occurrence, Order.Task.Step},
+                   Order.Worker);
     break;
   }
   // A lost copy of the order may still be on its way, so the run is stopped
   // like one that started.
-  On.RefusedUntil = Now + Limits.RefusalPause;
   GroupRef Ref = find(Order.Task);
   if (Ref.Group && Ref.Group->Run == Order.Run)
     abort(*Ref.Owner, *Ref.Group, resultName(Result));
@@ -330,4 +373,23 @@
     Run.StopConfirmedAt = Now;
 }
 
+void PoolScheduler::paceAnswered(const PaceOrder &Order, OrderResult Result,
+                                 TimePoint Now) {
+  if (Result == OrderResult::Fenced)
+    Fenced = true;
+  auto Where = Slots.find(Order.Worker);
+  if (Where == Slots.end())
+    return;
+  auto Found = Where->second.Runs.find({Order.Task, Order.Run});
+  if (Found == Where->second.Runs.end())
+    return;
+  PlacedRun &Run = Found->second;
+  Run.PaceOut = false;
+  Run.NextPace = Now + Limits.OrderRetry;
+  // An order without an answer may be carried out later, over a newer one.
+  Run.PacePercent.reset();
+  if (Result == OrderResult::Done)
+    Run.PacePercent = Order.Percent;
+}
+
 } // namespace banyanworks::pool
--- a/src/pool/QueueTerms.h
+++ b/src/pool/QueueTerms.h
@@ -7,9 +7,19 @@
 #include "base/Time.h"
 
 #include <cstdint>
+#include <optional>
 
 namespace banyanworks::pool {
 
+/// How the adviser of a queue answers.
+struct AdviceTerms {
+  /// The time of an answer, and so much more for each worker it is about.
+  Duration Decision{};
+  Duration PerWorker{};
+
+  bool operator==(const AdviceTerms &) const = default;
+};
+
 struct QueueTerms {
   /// Whose workers run the queue's tasks.
   ServiceId Service;
@@ -21,8 +31,8 @@
   /// Slack.
   double Stretch = 1.0;
   Duration Slack{};
-  /// True if a step may run only on workers that an adviser allows.
-  bool Advised = false;
+  /// Set if a step may run only on workers that an adviser allows.
+  std::optional<AdviceTerms> Advice;
 
   bool operator==(const QueueTerms &) const = default;
 };
--- a/src/pool/RunTable.h
+++ b/src/pool/RunTable.h
@@ -47,6 +47,11 @@
   /// The progress at the last look that was compared with the one before.
   std::uint32_t SampledPercent = 0;
   TimePoint SampledAt;
+  /// The pace that the worker has confirmed, and whether an order to change it
+  /// is under way; nothing is known of a run that an earlier owner started.
+  std::optional<std::uint32_t> PacePercent = 100;
+  bool PaceOut = false;
+  TimePoint NextPace;
   /// The best pace that the run has shown, in percent a second.
   double BestPace = 0.0;
 };
--- a/src/pool/StepSpec.h
+++ b/src/pool/StepSpec.h
@@ -29,8 +29,12 @@
   bool MayRunTwice = false;
   /// The tasks run until the job is cancelled.
   bool LongRunning = false;
-  /// The tasks use only what others leave idle of the processor.
+  /// The tasks use only what others leave idle of the processor; what they ask
+  /// of it is not held for them.
   bool FillsIdle = false;
+  /// For a long-running step that serves users: the bound on the tail of its
+  /// response times. Zero if it serves nobody.
+  Duration TailTarget{};
   /// The most tasks of one occurrence on a worker; zero for no limit.
   std::uint32_t MaxPerWorker = 0;
   /// Tasks of a long-running step that our own orders may keep from working.
@@ -40,6 +44,15 @@
   /// The rack that holds the data; empty if it does not matter.
   RackId DataRack;
 
+  /// What one task takes of a worker's capacity.
+  Resources held() const {
+    Resources Room = PerTask;
+    if (FillsIdle)
+      Room.MilliCores = 0;
+    return Room;
+  }
+  bool serves() const { return TailTarget > Duration::zero(); }
+
   bool operator==(const StepSpec &) const = default;
 };
 
--- a/src/pool/TaskKey.h
+++ b/src/pool/TaskKey.h
@@ -1,6 +1,6 @@
 /// \file
-/// Defines TaskKey, the place of a task within its job, and GroupKey, that of
-/// the tasks that start together.
+/// Defines TaskKey and StepKey, the place of a task within its job, and
+/// GroupKey, that of the tasks that start together.
 #ifndef BANYANWORKS_POOL_TASKKEY_H
 #define BANYANWORKS_POOL_TASKKEY_H
 
@@ -33,6 +33,22 @@
   }
 };
 
+/// One step of one occurrence of a job.
+struct StepKey {
+  JobId Job;
+  std::uint32_t Occurrence = 0;
+  std::uint32_t Step = 0;
+
+  bool operator==(const StepKey &) const = default;
+  std::strong_ordering operator<=>(const StepKey &Other) const {
+    if (auto Order = Job <=> Other.Job; Order != 0) // NOLINT: false nullptr
+      return Order;
+    if (Occurrence != Other.Occurrence)
+      return Occurrence <=> Other.Occurrence;
+    return Step <=> Other.Step;
+  }
+};
+
 } // namespace banyanworks::pool
 
 #endif
--- a/src/pool/WorkerLink.h
+++ b/src/pool/WorkerLink.h
@@ -40,6 +40,8 @@
                      std::function<void(OrderResult)> Done) = 0;
   virtual void stop(const PoolWorker &Worker, const StopOrder &Order,
                     std::function<void(OrderResult)> Done) = 0;
+  virtual void pace(const PoolWorker &Worker, const PaceOrder &Order,
+                    std::function<void(OrderResult)> Done) = 0;
   /// When every lease that this link has granted the worker is surely over.
   virtual TimePoint lapsesBy(const WorkerId &Worker) const = 0;
 };
--- a/src/pool/WorkerOrders.h
+++ b/src/pool/WorkerOrders.h
@@ -20,6 +20,8 @@
   std::string Program;
   /// Resumes from here; empty to start anew.
   std::string Checkpoint;
+  /// The adviser's ticket; empty if the queue is not advised.
+  std::string Ticket;
 };
 
 /// Stops a run; also keeps it from starting if its order is still on the way.
@@ -29,6 +31,15 @@
   RunNumber Run;
 };
 
+/// Lets a run work at a share of its pace.
+struct PaceOrder {
+  WorkerId Worker;
+  TaskKey Task;
+  RunNumber Run;
+  /// 0 to 100; a run starts at 100.
+  std::uint32_t Percent = 100;
+};
+
 /// What became of an order.
 enum class OrderResult : std::uint8_t {
   /// The worker carried it out, now or earlier.
@@ -47,6 +58,8 @@
   OtherLife,
   /// The worker found the order malformed; it did nothing.
   Malformed,
+  /// The worker does not accept the adviser's ticket; it did nothing.
+  NoTicket,
   /// Nothing was heard; it may be carried out now or later.
   Unknown,
 };
@@ -69,6 +82,9 @@
   RunNumber Run;
   std::string Checkpoint;
   std::uint32_t Percent = 0;
+  /// The tail of the response times of a task that serves users, in
+  /// milliseconds, over the last half second; of no meaning for other tasks.
+  std::uint32_t TailMs = 0;
 };
 
 /// The end of a run, which the worker repeats until it is acknowledged.
--- /dev/null
+++ b/test/support/FakeAdviser.cpp
@@ -0,0 +1,56 @@
+/// \file
+/// Implements FakeAdviser.
+#include "support/FakeAdviser.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace banyanworks::testing {
+
+using namespace pool;
+
+namespace {
+
+/// How long a question to an adviser that is silent waits.
+constexpr Duration AnswerTimeout = std::chrono::milliseconds(800);
+
+} // namespace
+
+void FakeAdviser::ask(const AdviceQuestion &Question,
+                      std::function<void(AdviceAnswer)> Done) {
+  ++Asked;
+  MostAtOnce = std::max(MostAtOnce, ++UnderWay);
+  if (Silent) {
+    Clock.after(AnswerTimeout, [this, Done = std::move(Done)] {
+      --UnderWay;
+      Done(AdviceAnswer());
+    });
+    return;
+  }
+  Clock.after(Question.Expected, [this, Question, Done = std::move(Done)] {
+    AdviceAnswer Answer;
+    Answer.Answered = true;
+    Answer.Validity = Validity;
+    for (const auto &Entry : Question.Workers) {
+      if (!Allows(Entry.first))
+        continue;
+      std::string Text = "ticket-" + std::to_string(Tickets.size() + 1);
+      Tickets[Text] = {Question.Step, Entry.first, Clock.now() + Validity};
+      Answer.Allowed.emplace_back(Entry.first, Text);
+    }
+    --UnderWay;
+    Done(Answer);
+  });
+}
+
+bool FakeAdviser::accepts(const StartOrder &Order) const {
+  auto Found = Tickets.find(Order.Ticket);
+  if (Found == Tickets.end())
+    return false;
+  const Issued &Ticket = Found->second;
+  return Ticket.Worker == Order.Worker && Clock.now() < Ticket.Until &&
+         Ticket.Step ==
+             StepKey{Order.Task.Job, Order.Task.Occurrence, Order.Task.Step};
+}
+
+} // namespace banyanworks::testing
--- /dev/null
+++ b/test/support/FakeAdviser.h
@@ -0,0 +1,52 @@
+/// \file
+/// Defines FakeAdviser, which allows workers by a rule and issues tickets that
+/// run out, in virtual time.
+#ifndef BANYANWORKS_TEST_SUPPORT_FAKEADVISER_H
+#define BANYANWORKS_TEST_SUPPORT_FAKEADVISER_H
+
+#include "pool/Adviser.h"
+#include "pool/WorkerOrders.h"
+#include "support/VirtualClock.h"
+
+#include <functional>
+#include <map>
+#include <string>
+
+namespace banyanworks::testing {
+
+class FakeAdviser : public pool::Adviser {
+public:
+  explicit FakeAdviser(VirtualClock &Clock) : Clock(Clock) {}
+
+  std::function<bool(const WorkerId &)> Allows = [](const WorkerId &) {
+    return true;
+  };
+  Duration Validity = std::chrono::seconds(3);
+  bool Silent = false;
+
+  void ask(const pool::AdviceQuestion &Question,
+           std::function<void(pool::AdviceAnswer)> Done) override;
+  /// Whether the order carries a ticket of its step and worker that still
+  /// holds; use as FakeWorkerPool::AcceptsTicket.
+  bool accepts(const pool::StartOrder &Order) const;
+
+  std::size_t asked() const { return Asked; }
+  std::size_t mostAtOnce() const { return MostAtOnce; }
+
+private:
+  struct Issued {
+    pool::StepKey Step;
+    WorkerId Worker;
+    TimePoint Until;
+  };
+
+  VirtualClock &Clock;
+  std::map<std::string, Issued> Tickets;
+  std::size_t Asked = 0;
+  std::size_t UnderWay = 0;
+  std::size_t MostAtOnce = 0;
+};
+
+} // namespace banyanworks::testing
+
+#endif
--- a/test/support/FakeWorkerPool.cpp
+++ b/test/support/FakeWorkerPool.cpp
@@ -69,6 +69,7 @@
     Lost.push_back(Entry.first);
   On.Runs.clear();
   On.Stopping.clear();
+  On.Paces.clear();
   On.Ended.clear();
   On.HighestOver.clear();
   On.Used = Resources();
@@ -100,6 +101,10 @@
     return OrderResult::Superseded;
   if (LeaseUntil <= Clock.now())
     return OrderResult::Expired;
+  if (AcceptsTicket && !AcceptsTicket(Order)) {
+    ++TicketsRefused;
+    return OrderResult::NoTicket;
+  }
   extendLease(On, LeaseUntil);
   for (const auto &[Id, Other] : Workers) {
     for (const auto &Entry : Other.Runs)
@@ -227,6 +232,50 @@
   return OrderResult::Done;
 }
 
+OrderResult FakeWorkerPool::pace(const PaceOrder &Order, Epoch Token) {
+  Worker &On = Workers.at(Order.Worker);
+  if (!On.Up)
+    return OrderResult::Unknown;
+  if (Token < On.Token)
+    return OrderResult::Fenced;
+  RunKey Key(Order.Task, Order.Run);
+  if (!On.Runs.contains(Key))
+    return OrderResult::Superseded;
+  On.Paces[Key] = Order.Percent;
+  return OrderResult::Done;
+}
+
+Duration FakeWorkerPool::tailOf(const WorkerId &Id, const RunKey &Key) const {
+  Duration Alone = Behaviour(Key.first).Tail;
+  double Factor = 1.0;
+  const Worker &On = Workers.at(Id);
+  for (const auto &Entry : On.Runs) {
+    auto Pace = On.Paces.find(Entry.first);
+    double Share = Pace == On.Paces.end() ? 1.0 : Pace->second / 100.0;
+    Factor += Share * Behaviour(Entry.first.first).Disturbs;
+  }
+  return scaled(Alone, Factor);
+}
+
+Duration FakeWorkerPool::worstTail(const WorkerId &Id) const {
+  Duration Worst{};
+  for (const auto &Entry : Workers.at(Id).Runs)
+    Worst = std::max(Worst, tailOf(Id, Entry.first));
+  return Worst;
+}
+
+std::optional<std::uint32_t> FakeWorkerPool::paceOf(const TaskKey &Task) const {
+  for (const auto &[Id, On] : Workers) {
+    for (const auto &Entry : On.Runs) {
+      if (Entry.first.first != Task)
+        continue;
+      auto Pace = On.Paces.find(Entry.first);
+      return Pace == On.Paces.end() ? 100 : Pace->second;
+    }
+  }
+  return std::nullopt;
+}
+
 WorkerReport FakeWorkerPool::renew(const WorkerId &Id, Epoch Token,
                                    std::uint64_t Acknowledged,
                                    TimePoint LeaseUntil) {
@@ -251,8 +300,11 @@
   Report.Result = OrderResult::Done;
   Report.Life = Incarnation(On.Life);
   Report.Ended = On.Ended;
-  for (const auto &Entry : On.Runs)
-    Report.Running.push_back({Entry.first.first, Entry.first.second, "", 0});
+  for (const auto &Entry : On.Runs) {
+    Report.Running.push_back({Entry.first.first, Entry.first.second, "", 0,
+                              static_cast<std::uint32_t>(
+                                  toSeconds(tailOf(Id, Entry.first)) * 1000)});
+  }
   return Report;
 }
 
@@ -299,6 +351,13 @@
       Done);
 }
 
+void WorkerSession::pace(const PoolWorker &Worker, const PaceOrder &Order,
+                         std::function<void(OrderResult)> Done) {
+  order(
+      Worker.Id,
+      [this, Order, Token = Token] { return Pool.pace(Order, Token); }, Done);
+}
+
 void WorkerSession::stop(const PoolWorker &Worker, const StopOrder &Order,
                          std::function<void(OrderResult)> Done) {
   order(
--- a/test/support/FakeWorkerPool.h
+++ b/test/support/FakeWorkerPool.h
@@ -30,6 +30,11 @@
   std::uint32_t GangSize = 0;
   /// The task fails instead of ending as done.
   bool Fails = false;
+  /// The tail of the response times of a task that serves, alone; zero for a
+  /// task that serves nobody.
+  Duration Tail{};
+  /// How much the task, at full pace, lengthens the tails beside it.
+  double Disturbs = 0.0;
 };
 
 /// Watches what no owner may do, and keeps what it saw as sentences.
@@ -42,6 +47,8 @@
   explicit FakeWorkerPool(VirtualClock &Clock) : Clock(Clock) {}
 
   std::function<TaskBehaviour(const pool::TaskKey &)> Behaviour;
+  /// Whether the ticket of an order is good; without it every order is taken.
+  std::function<bool(const pool::StartOrder &)> AcceptsTicket;
 
   void add(const pool::PoolWorker &Info);
   /// The process ends, with all that it runs and knows.
@@ -55,6 +62,7 @@
   pool::OrderResult start(const pool::StartOrder &Order, Epoch Token,
                           TimePoint LeaseUntil);
   pool::OrderResult stop(const pool::StopOrder &Order, Epoch Token);
+  pool::OrderResult pace(const pool::PaceOrder &Order, Epoch Token);
   pool::WorkerReport renew(const WorkerId &Id, Epoch Token,
                            std::uint64_t Acknowledged, TimePoint LeaseUntil);
   bool hasEnds(const WorkerId &Id) const {
@@ -64,6 +72,7 @@
   const std::vector<std::string> &violations() const { return Violations; }
   std::size_t starts() const { return Starts; }
   std::size_t alone() const { return Alone; }
+  std::size_t ticketsRefused() const { return TicketsRefused; }
   /// When a job's first task started; nothing if none did.
   std::optional<TimePoint> firstStart(JobId Job) const {
     auto Found = FirstStarts.find(Job);
@@ -71,6 +80,12 @@
       return std::nullopt;
     return Found->second;
   }
+  /// The tail of a serving task with what works beside it; zero for others.
+  Duration tailOf(const WorkerId &Id, const pool::RunKey &Key) const;
+  /// The worst tail on a worker.
+  Duration worstTail(const WorkerId &Id) const;
+  /// The pace of a task, in percent; nothing if it does not run.
+  std::optional<std::uint32_t> paceOf(const pool::TaskKey &Task) const;
   std::size_t runningOn(const WorkerId &Id) const {
     return Workers.at(Id).Runs.size();
   }
@@ -91,6 +106,8 @@
     /// Runs that are there, with a number that each change of them raises.
     std::map<pool::RunKey, std::uint64_t> Runs;
     std::set<pool::RunKey> Stopping;
+    /// Paces other than the full one.
+    std::map<pool::RunKey, std::uint32_t> Paces;
     std::map<pool::TaskKey, pool::RunNumber> HighestOver;
     std::vector<pool::ReportedEnd> Ended;
     std::map<std::uint64_t, TimePoint> EndedAt;
@@ -123,6 +140,7 @@
   std::map<JobId, TimePoint> FirstStarts;
   std::size_t Starts = 0;
   std::size_t Alone = 0;
+  std::size_t TicketsRefused = 0;
   std::uint64_t LastNumber = 0;
 };
 
@@ -154,6 +172,8 @@
              std::function<void(pool::OrderResult)> Done) override;
   void stop(const pool::PoolWorker &Worker, const pool::StopOrder &Order,
             std::function<void(pool::OrderResult)> Done) override;
+  void pace(const pool::PoolWorker &Worker, const pool::PaceOrder &Order,
+            std::function<void(pool::OrderResult)> Done) override;
   TimePoint lapsesBy(const WorkerId &Worker) const override;
 
 private:
--- a/test/support/PoolWorld.cpp
+++ b/test/support/PoolWorld.cpp
@@ -25,7 +25,7 @@
   Pool.Behaviour = [this](const TaskKey &Task) {
     const pool::JobSpec &Spec = Jobs.at(Task.Job);
     const StepSpec &Step = Spec.Steps[Task.Step];
-    return TaskBehaviour{Step.PerTask, Work.at(Task.Job),
+    return TaskBehaviour{Step.held(), Work.at(Task.Job),
                          Step.Gang ? Step.Tasks : 0, Spec.Program == "fails"};
   };
   for (unsigned Rack = 0; Rack < Racks; ++Rack) {
