Turn away jobs that cannot end in time under sustained overload

Change: the owner tells all daemons with its commits how much work runs and waits for each service and priority (PoolLoad). turnedAway() predicts a job's end from it and turns the job away, with the time to come back, if it could not end within three times its objective even with estimates that are 2.5 times too long. A mark under the job's key keeps an earlier attempt on its way from creating it after all, and is replaced when the caller comes back.

--- a/src/pool/Admission.cpp
+++ b/src/pool/Admission.cpp
@@ -17,6 +17,11 @@
 constexpr double UsableShare = 0.8;
 /// Even a flood of urgent work leaves this share in time.
 constexpr double LeastShare = 0.1;
+/// Callers' estimates are up to this many times too long. A job is turned away
+/// only if it could not end in time even then: the order of the queue already
+/// puts what is too late behind what is not, and a job that is turned away
+/// although it had found room is lost for nothing.
+constexpr double EstimateError = 2.5;
 /// Callers come back at least so much later, and spread over as much again.
 constexpr Duration LeastWait = std::chrono::seconds(1);
 constexpr std::uint64_t SpreadSteps = 16;
@@ -37,11 +42,12 @@
       Ahead += Time;
   double Share = std::max(LeastShare, UsableShare - Load.UrgentShare);
   Duration Chain = longestChain(Spec);
-  Duration End = scaled(Ahead, 1.0 / Share) + Chain;
-  Duration Late = End - objectiveOf(Chain, Terms) * LateFactor;
-  if (Late <= Duration::zero())
+  Duration Limit = objectiveOf(Chain, Terms) * LateFactor;
+  // So much work may be ahead of a job that still ends in time.
+  Duration Most = scaled(Limit - Chain, Share * EstimateError);
+  if (Ahead <= Most)
     return std::nullopt;
-  Duration Wait = std::max(Late, LeastWait);
+  Duration Wait = std::max(scaled(Ahead - Most, 1.0 / Share), LeastWait);
   return Wait + Wait * static_cast<int>(Spec.Id.value() % SpreadSteps) /
                     static_cast<int>(SpreadSteps);
 }
--- a/src/pool/JobBoard.cpp
+++ b/src/pool/JobBoard.cpp
@@ -3,6 +3,7 @@
 #include "pool/JobBoard.h"
 
 #include "base/DecisionLog.h"
+#include "base/Timers.h"
 #include "pool/JobName.h"
 #include "pool/JobSpecJson.h"
 #include "pool/StoreKeys.h"
@@ -12,12 +13,21 @@
 
 namespace banyanworks::pool {
 
+namespace {
+
+/// The owner tells the load at least so often while work waits (OwnerLimits::
+/// LoadInterval), with some time for the way here.
+constexpr Duration LoadLasts = std::chrono::seconds(3);
+
+} // namespace
+
 JobBoard::JobBoard(AsyncStore &Store, Timers &Clock, DecisionLog &Log,
                    WatchPace Pace)
-    : Log(Log), Watch(Store, Clock, Log, std::string(SharedPrefix), Pace,
-                      [this](const std::string &Key, const StoreEntry *Entry) {
-                        entryChanged(Key, Entry);
-                      }) {}
+    : Clock(Clock), Log(Log),
+      Watch(Store, Clock, Log, std::string(SharedPrefix), Pace,
+            [this](const std::string &Key, const StoreEntry *Entry) {
+              entryChanged(Key, Entry);
+            }) {}
 
 const JobBoard::Entry *JobBoard::job(JobId Id) const {
   auto Found = Jobs.find(Id);
@@ -42,7 +52,41 @@
       OwnerChanged();
     return;
   }
-  jobChanged(Key, Entry);
+  if (Key == LoadKey)
+    loadChanged(Entry);
+  else
+    jobChanged(Key, Entry);
+}
+
+StoreRevision JobBoard::turnedAway(JobId Id) const {
+  auto Found = TurnedAway.find(Id);
+  return Found == TurnedAway.end() ? StoreRevision() : Found->second;
+}
+
+std::vector<JobId> JobBoard::allTurnedAway() const {
+  std::vector<JobId> Result;
+  Result.reserve(TurnedAway.size());
+  for (const auto &Entry : TurnedAway)
+    Result.push_back(Entry.first);
+  return Result;
+}
+
+const PoolLoad *JobBoard::load() const {
+  return Load && Clock.now() - LoadSeenAt < LoadLasts ? &*Load : nullptr;
+}
+
+void JobBoard::loadChanged(const StoreEntry *Changed) {
+  Load.reset();
+  if (!Changed)
+    return;
+  auto Told = PoolLoad::decode(Changed->Value);
+  if (!Told) {
+    Log.write(LogLevel::Notice, "record.ignored",
+              {{"key", Changed->Key}, {"reason", Told.error().Message}});
+    return;
+  }
+  Load = std::move(*Told);
+  LoadSeenAt = Clock.now();
 }
 
 void JobBoard::jobChanged(const std::string &Key, const StoreEntry *Changed) {
@@ -57,6 +101,15 @@
               {{"key", Key}, {"reason", "unknown kind of key"}});
     return;
   }
+  if (Prefix == JobPrefix) {
+    if (Changed && Changed->Value == TurnedAwayMark) {
+      TurnedAway[*Id] = Changed->Version;
+      if (JobChanged)
+        JobChanged(*Id);
+      return;
+    }
+    TurnedAway.erase(*Id);
+  }
   Entry &Job = Jobs[*Id];
   if (Prefix == CancelPrefix) {
     Job.Cancelled = Changed != nullptr;
--- a/src/pool/JobBoard.h
+++ b/src/pool/JobBoard.h
@@ -5,12 +5,14 @@
 
 #include "pool/JobSpec.h"
 #include "pool/JobStatus.h"
+#include "pool/PoolLoad.h"
 #include "pool/StoreWatch.h"
 
 #include <functional>
 #include <map>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace banyanworks::pool {
 
@@ -40,6 +42,12 @@
   const Entry *job(JobId Id) const;
   /// Accepted jobs of a queue without a start; scheduled ones are not counted.
   std::size_t pending(const QueueId &Queue) const;
+  /// The mark of a job that was turned away; the zero revision if there is
+  /// none.
+  StoreRevision turnedAway(JobId Id) const;
+  std::vector<JobId> allTurnedAway() const;
+  /// What the owner told last of the pool's load; null if that is old.
+  const PoolLoad *load() const;
   /// The entry of the pool's owner; nothing if there is none.
   const std::optional<StoreEntry> &owner() const { return Owner; }
 
@@ -54,9 +62,14 @@
 private:
   void entryChanged(const std::string &Key, const StoreEntry *Entry);
   void jobChanged(const std::string &Key, const StoreEntry *Entry);
+  void loadChanged(const StoreEntry *Entry);
 
+  Timers &Clock;
   DecisionLog &Log;
   std::map<JobId, Entry> Jobs;
+  std::map<JobId, StoreRevision> TurnedAway;
+  std::optional<PoolLoad> Load;
+  TimePoint LoadSeenAt;
   std::optional<StoreEntry> Owner;
   std::function<void(JobId)> JobChanged;
   std::function<void()> OwnerChanged;
--- a/src/pool/JobIntake.cpp
+++ b/src/pool/JobIntake.cpp
@@ -4,6 +4,7 @@
 
 #include "base/DecisionLog.h"
 #include "base/Timers.h"
+#include "pool/Admission.h"
 #include "pool/JobBoard.h"
 #include "pool/JobName.h"
 #include "pool/JobSpecJson.h"
@@ -18,9 +19,12 @@
 struct JobIntake::Creation {
   std::string Key;
   std::string Value;
+  /// The mark that is replaced, if the job was turned away before.
+  StoreRevision Replaces;
   JobId Job;
+  Duration RetryAfter{};
   TimePoint Deadline;
-  Answer Done;
+  SubmitAnswer Done;
   /// True once a write may have taken effect without an answer.
   bool Uncertain = false;
   std::uint32_t Tries = 0;
@@ -38,17 +42,34 @@
                      const JobBoard &Board, const IntakeLimits &Limits)
     : Store(Store), Clock(Clock), Log(Log), Board(Board), Limits(Limits) {}
 
-void JobIntake::submit(const JobSpec &Spec, TimePoint Deadline, Answer Done) {
+std::optional<Duration> JobIntake::turnedAway(const JobSpec &Spec) const {
+  const PoolLoad *Load = Board.load();
+  if (!Load)
+    return std::nullopt;
+  auto Service = Load->Services.find(Spec.Terms.Service);
+  if (Service == Load->Services.end())
+    return std::nullopt;
+  return pool::turnedAway(Spec, Service->second);
+}
+
+void JobIntake::submit(const JobSpec &Spec, TimePoint Deadline,
+                       SubmitAnswer Done) {
   if (const JobBoard::Entry *Known = Board.job(Spec.Id); Known && Known->Spec) {
     Log.write(
         LogLevel::Routine, "job.repeated",
         {{"job", jobName(Spec.Id)}, {"status", jobStatusName(Known->shown())}});
-    Done(Reason::None);
+    Done(Reason::None, Duration::zero());
     return;
   }
   auto Write = std::make_shared<Creation>();
   Write->Key = std::string(JobPrefix) + jobName(Spec.Id);
-  Write->Value = encodeJobSpec(Spec);
+  Write->Replaces = Board.turnedAway(Spec.Id);
+  if (auto Wait = turnedAway(Spec)) {
+    Write->Value = TurnedAwayMark;
+    Write->RetryAfter = *Wait;
+  } else {
+    Write->Value = encodeJobSpec(Spec);
+  }
   Write->Job = Spec.Id;
   Write->Deadline = Deadline - Limits.Margin;
   Write->Done = std::move(Done);
@@ -57,7 +78,7 @@
 
 void JobIntake::create(const std::shared_ptr<Creation> &Write) {
   Transaction Changes;
-  Changes.Conditions.push_back({Write->Key, StoreRevision()});
+  Changes.Conditions.push_back({Write->Key, Write->Replaces});
   Changes.Puts.push_back({Write->Key, Write->Value, StoreLeaseId()});
   ++Write->Tries;
   Duration Left = Write->Deadline - Clock.now();
@@ -77,12 +98,24 @@
                {"job", jobName(Write->Job)},
                {"outcome", reasonInfo(Outcome).Name},
                {"revision", Result.Version.value()},
+               {"retry_after_ms", Write->RetryAfter.count() / 1000},
                {"tries", Write->Tries}});
-    Write->Done(Outcome);
+    Write->Done(Outcome, Write->RetryAfter);
   };
   switch (Result.Status) {
   case CallStatus::Done:
-  case CallStatus::Rejected: // The key exists: the job was accepted before.
+    Report(Write->Value == TurnedAwayMark ? Reason::DeadlineUnreachable
+                                          : Reason::None);
+    return;
+  case CallStatus::Rejected:
+    // The key exists: the job was accepted before, or turned away elsewhere.
+    if (!Result.Current.empty() &&
+        Result.Current.front().Value == TurnedAwayMark) {
+      Write->RetryAfter = std::max(Write->RetryAfter, Limits.LeastRetryAfter);
+      Report(Reason::DeadlineUnreachable);
+      return;
+    }
+    Write->RetryAfter = Duration::zero();
     Report(Reason::None);
     return;
   case CallStatus::NotApplied:
@@ -124,7 +157,9 @@
   Write->Key = std::string(CancelPrefix) + jobName(Id);
   Write->Job = Id;
   Write->Deadline = Deadline - Limits.Margin;
-  Write->Done = std::move(Done);
+  Write->Done = [Done = std::move(Done)](Reason Outcome, Duration) {
+    Done(Outcome);
+  };
   create(Write);
 }
 
@@ -180,7 +215,8 @@
                Reason Outcome = Reason::None;
                if (Result.Status != CallStatus::Done)
                  Outcome = Reason::StoreUnavailable;
-               else if (Result.Entries.empty())
+               else if (Result.Entries.empty() ||
+                        Result.Entries.front().Value == TurnedAwayMark)
                  Outcome = Reason::UnknownJob;
                Log.write(LogLevel::Routine, "job.looked_up",
                          {{"job", jobName(Id)},
--- a/src/pool/JobIntake.h
+++ b/src/pool/JobIntake.h
@@ -40,6 +40,9 @@
   /// If the store has not answered by then, the state that this daemon knew
   /// before is answered; many round trips.
   Duration StatusLimit = std::chrono::milliseconds(150);
+  /// How long a caller stays away whose job another daemon has just turned
+  /// away.
+  Duration LeastRetryAfter = std::chrono::seconds(1);
   /// With so many reads under way the store is behind, and what is known is
   /// answered at once.
   std::uint32_t MostStatusReads = 32;
@@ -57,8 +60,13 @@
   JobIntake(AsyncStore &Store, Timers &Clock, DecisionLog &Log,
             const JobBoard &Board, const IntakeLimits &Limits);
 
-  /// Accepts a job, once for each id. \p Deadline is the caller's.
-  void submit(const JobSpec &Spec, TimePoint Deadline, Answer Done);
+  /// When a caller that was turned away may come back; zero for any time.
+  using SubmitAnswer = std::function<void(Reason, Duration RetryAfter)>;
+
+  /// Accepts a job, once for each id, or turns it away with
+  /// Reason::DeadlineUnreachable if it cannot end in time; then it never runs
+  /// from this attempt or an earlier one. \p Deadline is the caller's.
+  void submit(const JobSpec &Spec, TimePoint Deadline, SubmitAnswer Done);
   void cancel(JobId Id, TimePoint Deadline, Answer Done);
   /// The status as it stands in the store shortly after the call, or, if the
   /// store does not answer soon, as this daemon saw it last.
@@ -70,6 +78,8 @@
   /// Creates a key that may exist already, until its outcome is known.
   struct Creation;
 
+  /// Whether and until when the job is better turned away.
+  std::optional<Duration> turnedAway(const JobSpec &Spec) const;
   void create(const std::shared_ptr<Creation> &Write);
   void created(const std::shared_ptr<Creation> &Write,
                const TransactionResult &Result);
--- a/src/pool/PoolLoad.cpp
+++ b/src/pool/PoolLoad.cpp
@@ -9,21 +9,21 @@
 using nlohmann::json;
 
 std::string PoolLoad::encode() const {
-  json Out = json::object();
+  json Told = json::object();
   for (const auto &[Service, Load] : Services) {
     json Work = json::array();
     for (const auto &[Priority, Time] : Load.Work)
       Work.push_back({Priority, Time.count()});
-    Out[Service.str()] = {{"urgent_share", Load.UrgentShare},
-                          {"work_us", std::move(Work)}};
+    Told[Service.str()] = {{"urgent_share", Load.UrgentShare},
+                           {"work_us", std::move(Work)}};
   }
-  return Out.dump();
+  return json({{"services", std::move(Told)}}).dump();
 }
 
 Outcome<PoolLoad> PoolLoad::decode(const std::string &Text) {
   return decodeJson(Text, [](const json &In) {
     PoolLoad Result;
-    for (const auto &[Service, Fields] : In.items()) {
+    for (const auto &[Service, Fields] : In.at("services").items()) {
       ServiceLoad &Load = Result.Services[ServiceId(Service)];
       Load.UrgentShare = Fields.at("urgent_share").get<double>();
       for (const json &Row : Fields.at("work_us"))
--- a/src/pool/PoolOwner.cpp
+++ b/src/pool/PoolOwner.cpp
@@ -180,6 +180,8 @@
   Phase = Role::Owner;
   for (const auto &Entry : Board.jobs())
     jobSeen(Entry.first);
+  for (JobId Id : Board.allTurnedAway())
+    jobSeen(Id);
   Log.write(LogLevel::Change, "owner.recovered",
             {{"token", Token.value()},
              {"jobs", Board.jobs().size()},
@@ -205,6 +207,7 @@
   Scheduler.reset();
   Renewals.clear();
   FinalSince.clear();
+  LoadTold = TimePoint();
   CommitOut = false;
   AdviceOut = false;
   TurnPlanned = false;
@@ -278,6 +281,10 @@
   if (Phase != Role::Owner)
     return;
   const JobBoard::Entry *Job = Board.job(Id);
+  if (Board.turnedAway(Id) != StoreRevision()) {
+    FinalSince.emplace(Id, Clock.now());
+    return;
+  }
   if (!Job || !Job->Spec)
     return;
   Scheduler->submit(*Job->Spec, Job->shown());
@@ -285,6 +292,8 @@
     Scheduler->cancel(Id);
   if (isFinal(Job->shown()))
     FinalSince.emplace(Id, Clock.now());
+  else
+    FinalSince.erase(Id);
   turnSoon();
 }
 
--- a/src/pool/PoolOwner.h
+++ b/src/pool/PoolOwner.h
@@ -48,6 +48,9 @@
   Duration ElectionRetry = std::chrono::milliseconds(400);
   Duration CommitTimeout = std::chrono::milliseconds(1000);
   Duration CommitRetry = std::chrono::milliseconds(50);
+  /// How often the load of the pool is told to all daemons, with a commit that
+  /// is made anyway; a burst fills a pool within a few seconds.
+  Duration LoadInterval = std::chrono::milliseconds(500);
   /// The pause after a question that the adviser did not answer.
   Duration AdviceRetry = std::chrono::milliseconds(100);
   /// An owner that cannot renew its lease goes on renewing the workers' leases
@@ -172,6 +175,7 @@
   std::unordered_map<WorkerId, Renewal> Renewals;
   bool TurnPlanned = false;
   TimePoint LastTurn;
+  TimePoint LoadTold;
   bool CommitOut = false;
   bool AdviceOut = false;
   std::uint64_t Commits = 0;
--- a/src/pool/PoolOwnerTurn.cpp
+++ b/src/pool/PoolOwnerTurn.cpp
@@ -19,9 +19,9 @@
 
 namespace {
 
-/// Jobs in one commit: a transaction takes 32 entries, two of which are the
-/// head and its condition, and a job needs two.
-constexpr std::size_t JobsPerCommit = 15;
+/// Jobs in one commit: a transaction takes 32 entries, three of which are the
+/// head, its condition and the load, and a job needs two.
+constexpr std::size_t JobsPerCommit = 14;
 
 } // namespace
 
@@ -126,6 +126,11 @@
                                      StoreLeaseId()});
     }
   }
+  if (TimePoint Now = Clock.now(); Now - LoadTold >= Limits.LoadInterval) {
+    LoadTold = Now;
+    Write->Changes.Puts.push_back(
+        {std::string(LoadKey), Scheduler->load(Now).encode(), StoreLeaseId()});
+  }
   CommitOut = true;
   send(Write);
 }
@@ -298,6 +303,10 @@
       continue;
     std::string Name = jobName(Entry->first);
     Transaction Changes;
+    // The caller may just have come back, and the mark be replaced.
+    if (StoreRevision Mark = Board.turnedAway(Entry->first);
+        Mark != StoreRevision())
+      Changes.Conditions.push_back({std::string(JobPrefix) + Name, Mark});
     for (std::string_view Prefix : {JobPrefix, StatusPrefix, CancelPrefix})
       Changes.Deletes.push_back(std::string(Prefix) + Name);
     // A removal that fails is tried again when the job is next seen as final.
--- a/src/pool/PoolScheduler.h
+++ b/src/pool/PoolScheduler.h
@@ -9,6 +9,7 @@
 #include "pool/GangHold.h"
 #include "pool/JobProgress.h"
 #include "pool/PoolConfiguration.h"
+#include "pool/PoolLoad.h"
 #include "pool/PoolWorker.h"
 #include "pool/RunTable.h"
 #include "pool/TaskPlacer.h"
@@ -151,6 +152,8 @@
   visitWorkers(const std::function<void(const RenewalState &)> &Visit) const;
   /// True once a worker has seen a higher fencing token than ours.
   bool fenced() const { return Fenced; }
+  /// How much accepted work waits and runs.
+  PoolLoad load(TimePoint Now);
   /// Jobs that are neither final nor started.
   std::size_t waitingJobs() const;
 
--- a/src/pool/PoolSchedulerPass.cpp
+++ b/src/pool/PoolSchedulerPass.cpp
@@ -26,6 +26,16 @@
 /// When more than one in so many workers looks bad, all are used.
 constexpr std::size_t MostSuspects = 3;
 
+/// The largest share that \p Some is of \p Whole in any resource.
+double dominantShare(const Resources &Some, const Resources &Whole) {
+  auto Share = [](std::int64_t Part, std::int64_t All) {
+    return All > 0 ? static_cast<double>(Part) / static_cast<double>(All) : 0.0;
+  };
+  return std::max({Share(Some.MilliCores, Whole.MilliCores),
+                   Share(Some.MemoryMiB, Whole.MemoryMiB),
+                   Share(Some.Accelerators, Whole.Accelerators)});
+}
+
 double coreSeconds(const Resources &Room, Duration Time) {
   return (static_cast<double>(Room.MilliCores) / 1000.0 +
           CoresPerAccelerator * Room.Accelerators) *
@@ -703,4 +713,51 @@
   return Orders;
 }
 
+PoolLoad PoolScheduler::load(TimePoint Now) {
+  std::map<ServiceId, Resources> Usable;
+  std::map<ServiceId, Resources> Urgent;
+  for (const auto &[Id, On] : Slots) {
+    if (!On.Listed || On.Info.Draining || DomainsOut.contains(On.Info.Domain))
+      continue;
+    Usable[On.Info.Service] += On.Info.Capacity;
+    for (const auto &[Key, Run] : On.Runs) {
+      GroupRef Ref = find(Key.first);
+      if (Ref.Group && termsOf(Ref.Owner->Spec).Priority == 0)
+        Urgent[On.Info.Service] += Run.Room;
+    }
+  }
+  PoolLoad Result;
+  for (const auto &[Service, Whole] : Usable)
+    Result.Services[Service].UrgentShare =
+        dominantShare(Urgent[Service], Whole);
+  for (auto &[Id, Each] : Jobs) {
+    if (isFinal(Each.Status) || Each.Spec.scheduled())
+      continue;
+    QueueTerms Terms = termsOf(Each.Spec);
+    auto Whole = Usable.find(Terms.Service);
+    if (Whole == Usable.end())
+      continue;
+    Duration Work{};
+    for (const TaskGroup &Group : Each.Progress.groups()) {
+      const StepSpec &Step = Each.Spec.Steps[Group.Step];
+      if (Group.State == GroupState::Done || Step.LongRunning || Step.FillsIdle)
+        continue;
+      Duration Left = Step.Estimate;
+      if (Group.State == GroupState::Active && !Group.Workers.empty()) {
+        TaskKey First{Id, Group.Occurrence, Group.Step, Group.FirstIndex};
+        auto On = Slots.find(Group.Workers.front());
+        if (On != Slots.end()) {
+          auto Run = On->second.Runs.find({First, Group.Run});
+          if (Run != On->second.Runs.end())
+            Left = remaining(Run->first, Run->second, Now);
+        }
+      }
+      Work += scaled(Left,
+                     dominantShare(Step.held(), Whole->second) * Group.Members);
+    }
+    Result.Services[Terms.Service].Work[Terms.Priority] += Work;
+  }
+  return Result;
+}
+
 } // namespace banyanworks::pool
--- a/src/pool/StoreKeys.h
+++ b/src/pool/StoreKeys.h
@@ -11,6 +11,11 @@
 inline constexpr std::string_view SharedPrefix = "banyanworks/shared/";
 /// A job as submitted, by its name. Created once and never changed.
 inline constexpr std::string_view JobPrefix = "banyanworks/shared/job/";
+/// Stands for a job that was turned away, so that an earlier attempt to submit
+/// it that is still on its way cannot create it after all.
+inline constexpr std::string_view TurnedAwayMark = "turned away";
+/// The load of the pool, as its owner sees it.
+inline constexpr std::string_view LoadKey = "banyanworks/shared/load";
 /// The status that callers are shown; absent while the job is queued.
 inline constexpr std::string_view StatusPrefix = "banyanworks/shared/status/";
 /// Exists once a caller has cancelled the job.
--- /dev/null
+++ b/test/correctness/pool_admission.cpp
@@ -0,0 +1,174 @@
+/// \file
+/// Under a load that stays above what the pool can do, jobs that cannot end in
+/// time are turned away at once, and those that are accepted are of use.
+#include "pool/Admission.h"
+#include "pool/JobObjective.h"
+#include "pool/PoolLoad.h"
+#include "support/PoolWorld.h"
+
+#include <criterion/criterion.h>
+
+using namespace banyanworks;
+using namespace banyanworks::testing;
+using namespace banyanworks::pool;
+using namespace std::chrono_literals;
+
+namespace {
+
+JobSpec jobOf(std::uint32_t Priority, Duration Work) {
+  JobSpec Spec;
+  Spec.Id = JobId(32);
+  Spec.Terms.Priority = Priority;
+  Spec.Terms.Stretch = 3.0;
+  StepSpec Step;
+  Step.Estimate = Work;
+  Spec.Steps.push_back(Step);
+  return Spec;
+}
+
+ServiceLoad loadOf(std::uint32_t Priority, Duration Work) {
+  ServiceLoad Load;
+  Load.Work[Priority] = Work;
+  return Load;
+}
+
+} // namespace
+
+Test(pool_admission, job_behind_little_work_is_admitted) {
+  cr_assert_not(turnedAway(jobOf(1, 5s), loadOf(1, 20s)));
+}
+
+Test(pool_admission, job_that_would_end_too_late_is_turned_away) {
+  // It has 45 s and needs 5 s itself. At 0.8 of the pool, and with estimates
+  // that are 2.5 times too long, 80 s of work may be ahead of it.
+  cr_assert_not(turnedAway(jobOf(1, 5s), loadOf(1, 79s)));
+  auto Wait = turnedAway(jobOf(1, 5s), loadOf(1, 120s));
+  cr_assert(Wait);
+  cr_assert(*Wait >= 49s && *Wait <= 100s);
+}
+
+Test(pool_admission, work_of_lower_priority_is_not_in_the_way) {
+  cr_assert_not(turnedAway(jobOf(1, 5s), loadOf(2, 150s)));
+}
+
+Test(pool_admission, urgent_work_takes_its_share_first) {
+  ServiceLoad Load = loadOf(1, 60s);
+  cr_assert_not(turnedAway(jobOf(1, 5s), Load));
+  Load.UrgentShare = 0.5;
+  cr_assert(turnedAway(jobOf(1, 5s), Load));
+}
+
+Test(pool_admission, urgent_and_scheduled_and_lasting_jobs_are_admitted) {
+  ServiceLoad Load = loadOf(1, 1h);
+  cr_assert_not(turnedAway(jobOf(0, 5s), Load));
+  JobSpec Scheduled = jobOf(1, 5s);
+  Scheduled.Occurrences = 3;
+  cr_assert_not(turnedAway(Scheduled, Load));
+  JobSpec Lasting = jobOf(1, 5s);
+  Lasting.Steps.front().LongRunning = true;
+  cr_assert_not(turnedAway(Lasting, Load));
+}
+
+Test(pool_admission, callers_come_back_at_different_times) {
+  JobSpec Spec = jobOf(1, 5s);
+  std::set<Duration> Times;
+  for (std::uint64_t Id = 0; Id < 16; ++Id) {
+    Spec.Id = JobId(Id);
+    Times.insert(*turnedAway(Spec, loadOf(1, 150s)));
+  }
+  cr_assert_eq(Times.size(), 16U);
+}
+
+Test(pool_admission, load_survives_the_store) {
+  PoolLoad Load;
+  Load.Services[ServiceId("a")] = loadOf(2, 12s);
+  Load.Services[ServiceId("a")].UrgentShare = 0.25;
+  auto Read = PoolLoad::decode(Load.encode());
+  cr_assert(Read);
+  cr_assert(*Read == Load);
+  cr_assert_not(PoolLoad::decode("[]"));
+}
+
+Test(pool_admission, accepted_jobs_are_of_use_under_four_times_the_load) {
+  PoolWorld World(1, 2, 1);
+  World.run(2s);
+  // The pool does four jobs of 2 s a second; sixteen a second come.
+  std::map<std::uint64_t, std::shared_ptr<std::optional<Reason>>> Answers;
+  std::map<std::uint64_t, TimePoint> Sent;
+  std::uint64_t Id = 1;
+  for (int Turn = 0; Turn < 600; ++Turn) {
+    World.run(50ms);
+    if (Turn % 5 != 0)
+      continue;
+    for (int Each = 0; Each < 4; ++Each, ++Id) {
+      Sent[Id] = World.Clock.now();
+      // The estimate is as wrong as the decision allows for.
+      JobSpec Spec = World.job(Id, 1, 8, false, 2s);
+      Spec.Steps.front().Estimate = 5s;
+      Answers[Id] = World.submit(Id % 2, Spec);
+    }
+  }
+  std::size_t Away = 0;
+  std::size_t Served = 0;
+  Duration Objective =
+      objectiveOf(5s, World.job(999'999, 1, 8, false, 2s).Terms);
+  World.run(Objective * LateFactor + 5s);
+  std::size_t Unserved = 0;
+  for (const auto &[Number, Answer] : Answers) {
+    cr_assert(Answer->has_value());
+    if (**Answer == Reason::DeadlineUnreachable) {
+      ++Away;
+      cr_assert(World.RetryAfter[JobId(Number)] >= 1s);
+      cr_assert(World.shown(JobId(Number)) == JobStatus::Queued);
+      cr_assert_not(World.Pool.firstStart(JobId(Number)));
+      continue;
+    }
+    if (World.shown(JobId(Number)) == JobStatus::Completed)
+      ++Served;
+    else
+      ++Unserved;
+  }
+  cr_assert_gt(Away, 200U);
+  cr_assert_gt(Served, 100U);
+  cr_assert_eq(Unserved, 0U);
+}
+
+Test(pool_admission, caller_that_comes_back_later_is_served) {
+  PoolWorld World(1, 2, 1);
+  World.run(2s);
+  for (std::uint64_t Id = 1; Id <= 200; ++Id)
+    World.submit(0, World.job(Id, 1, 8, false, 2s));
+  World.run(2s);
+  JobSpec Spec = World.job(500, 1, 8, false, 2s);
+  auto First = World.submit(1, Spec);
+  World.run(500ms);
+  cr_assert(*First == Reason::DeadlineUnreachable);
+  World.run(World.RetryAfter[Spec.Id] + 1s);
+  auto Second = World.submit(1, Spec);
+  World.run(500ms);
+  cr_assert(*Second == Reason::None);
+  World.run(40s);
+  cr_assert(World.shown(Spec.Id) == JobStatus::Completed);
+}
+
+Test(pool_admission, refusal_stands_against_an_earlier_attempt_on_its_way) {
+  PoolWorld World(1, 2, 1);
+  World.run(2s);
+  JobSpec Spec = World.job(500, 1, 8, false, 2s);
+  // The first attempt's write reaches the store three seconds late.
+  World.daemon(0).Store.Trouble.LostAnswers = 1.0;
+  World.daemon(0).Store.Trouble.LateBy = 3s;
+  auto First = World.submit(0, Spec);
+  World.run(100ms);
+  World.daemon(0).Store.Trouble = StoreTrouble();
+  PoolLoad Load;
+  Load.Services[Spec.Terms.Service] = loadOf(Spec.Terms.Priority, 1h);
+  World.Shared.put("banyanworks/shared/load", Load.encode());
+  World.run(100ms);
+  auto Second = World.submit(1, Spec);
+  World.run(500ms);
+  cr_assert(*Second == Reason::DeadlineUnreachable);
+  World.run(6s);
+  cr_assert_not(World.Pool.firstStart(Spec.Id));
+  cr_assert(*First != Reason::None);
+}
--- a/test/support/PoolWorld.cpp
+++ b/test/support/PoolWorld.cpp
@@ -130,8 +130,12 @@
 PoolWorld::submit(std::size_t Number, const pool::JobSpec &Spec) {
   Jobs[Spec.Id] = Spec;
   auto Answer = std::make_shared<std::optional<Reason>>();
-  Daemons[Number]->Intake->submit(Spec, Clock.now() + 3s,
-                                  [Answer](Reason Why) { *Answer = Why; });
+  Daemons[Number]->Intake->submit(
+      Spec, Clock.now() + 3s,
+      [this, Answer, Id = Spec.Id](Reason Why, Duration Wait) {
+        *Answer = Why;
+        RetryAfter[Id] = Wait;
+      });
   return Answer;
 }
 
--- a/test/support/PoolWorld.h
+++ b/test/support/PoolWorld.h
@@ -73,6 +73,8 @@
   void list(const WorkerId &Id, bool Draining = false);
 
   pool::PoolConfiguration Configuration;
+  /// When callers were told to come back, by job.
+  std::map<JobId, Duration> RetryAfter;
 
   void run(Duration Span) { Clock.runUntil(Clock.now() + Span); }
 
