Let an owner that was paused for long start nothing when it wakes

Cause: an owner renews its workers for up to 10 s without the store, and its successor waits that long, and a lease more, for workers that it cannot reach. Renewals kept to the bound, orders did not: an owner that was paused 25 s, 0.8 s after an order that got no answer, repeated the order when it woke, to a worker that had never heard of the successor, while the task ran elsewhere.

Change: a turn that finds the bound exceeded gives the ownership up before anything is ordered.

--- a/src/pool/PoolOwnerTurn.cpp
+++ b/src/pool/PoolOwnerTurn.cpp
@@ -48,6 +48,12 @@
     return;
   }
   TimePoint Now = Clock.now();
+  // A process that was paused may wake with orders that are due, and a successor
+  // starts the same tasks elsewhere once this time is over.
+  if (Now - RenewedAt > Limits.RenewWithoutStore) {
+    stepDown("paused for too long");
+    return;
+  }
   Scheduler->visitWorkers([this, Now](const RenewalState &State) {
     bool Unheard = State.Silent || !State.Heard;
     if (Unheard && State.HoldsRuns && Now > lapsesBy(State))
--- a/test/error/pool_takeover.cpp
+++ b/test/error/pool_takeover.cpp
@@ -113,3 +113,38 @@
   cr_assert(World->shown(JobId(1)) == JobStatus::Completed);
   cr_assert(World->Pool.violations().empty());
 }
+
+namespace {
+
+/// An owner is paused \p After it gave an order to a worker that nobody but it
+/// reaches, and that so never hears of its successor.
+void wakeAfterLong(Duration After) {
+  PoolWorld World(7, 3, 1);
+  World.run(2s);
+  std::size_t First = *World.owner();
+  WorkerId Lonely = World.Pool.ids().front();
+  for (std::size_t Number = 0; Number < World.daemons(); ++Number)
+    World.daemon(Number).Workers.Trouble.Silent.insert(Lonely);
+  for (const WorkerId &Other : World.Pool.ids())
+    if (Other != Lonely)
+      World.list(Other, true);
+  World.submit(First, World.job(1, 1, 8, false, 60s));
+  World.run(After);
+  World.daemon(First).Workers.Trouble.Silent.clear();
+  World.daemon(First).Timers.pauseUntil(World.Clock.now() + 25s);
+  for (const WorkerId &Other : World.Pool.ids())
+    World.list(Other);
+  World.run(30s);
+  cr_assert(World.owner() && *World.owner() != First);
+  auto Paused = static_cast<long>(After.count());
+  cr_assert(World.Pool.violations().empty(), "paused after %ld us: %s", Paused,
+            World.Pool.violations().front().c_str());
+  cr_assert_eq(World.Pool.running(), 1U, "paused after %ld us", Paused);
+}
+
+} // namespace
+
+Test(pool_takeover, owner_that_wakes_after_long_starts_nothing) {
+  for (Duration After = 20ms; After < 1700ms; After += 20ms)
+    wakeAfterLong(After);
+}
