Measure how long tasks are queued, started and recorded

Cause: the metrics page had latencies of answers and store calls only, so that an engineer could not tell a full pool from slow workers or a slow store.

Change: the owner observes three spans of each task (PoolSpan), shown as banyanworks_task_seconds.

--- a/src/bench/PoolLoadBench.cpp
+++ b/src/bench/PoolLoadBench.cpp
@@ -112,7 +112,7 @@
   }
 
   void record(const pool::PoolOrders &Orders) {
-    Scheduler.committed(Scheduler.changes(MostChanges));
+    Scheduler.committed(Scheduler.changes(MostChanges), Now);
     pool::PoolOrders Sent = Scheduler.pass(Now, WallTime(1000s));
     Sent.Starts.insert(Sent.Starts.end(), Orders.Starts.begin(),
                        Orders.Starts.end());
--- a/src/edge/Metrics.cpp
+++ b/src/edge/Metrics.cpp
@@ -36,6 +36,7 @@
   prometheus::Family<prometheus::Counter> &StoreCalls;
   prometheus::Family<prometheus::Histogram> &StoreSeconds;
   prometheus::Family<prometheus::Counter> &Orders;
+  prometheus::Family<prometheus::Histogram> &TaskSeconds;
   std::mutex Lock;
   std::map<std::string, prometheus::Family<prometheus::Gauge> *> Gauges;
 
@@ -67,7 +68,11 @@
         Orders(prometheus::BuildCounter()
                    .Name("banyanworks_worker_orders_total")
                    .Help("Orders to workers by kind")
-                   .Register(Registry)) {
+                   .Register(Registry)),
+        TaskSeconds(prometheus::BuildHistogram()
+                        .Name("banyanworks_task_seconds")
+                        .Help("Spans of tasks: queued, started, recorded")
+                        .Register(Registry)) {
     // Present from the start, so that a first increase shows as a rate.
     for (const ReasonInfo &Info : allReasons()) {
       if (Info.Code == Reason::None)
@@ -99,6 +104,11 @@
       .Observe(toSeconds(Took));
 }
 
+void Metrics::spanObserved(const std::string &Span, Duration Took) {
+  Self->TaskSeconds.Add({{"span", Span}}, LatencyBuckets)
+      .Observe(toSeconds(Took));
+}
+
 void Metrics::storeCalled(const std::string &Kind, bool Available,
                           Duration Took) {
   Self->StoreCalls
--- a/src/edge/Metrics.h
+++ b/src/edge/Metrics.h
@@ -28,6 +28,8 @@
   void answered(const std::string &Plane, int Status, Duration Took);
   /// A call to the store ended; \p Kind is the operation.
   void storeCalled(const std::string &Kind, bool Available, Duration Took);
+  /// A task took \p Took for one span of its life.
+  void spanObserved(const std::string &Span, Duration Took);
   /// An order went to a worker.
   void orderSent(const std::string &Kind);
 
--- a/src/pool/PoolOwner.cpp
+++ b/src/pool/PoolOwner.cpp
@@ -153,6 +153,7 @@
 
 void PoolOwner::resume(const std::vector<StoreEntry> &Records) {
   Scheduler = std::make_unique<PoolScheduler>(Scheduling, Log);
+  Scheduler->observe(Observer);
   Scheduler->configure(Configuration);
   Scheduler->setDomainsOut(DomainsOut);
   for (const auto &Entry : Directory)
--- a/src/pool/PoolOwner.h
+++ b/src/pool/PoolOwner.h
@@ -94,6 +94,8 @@
   void workerChanged(const WorkerId &Id, const PoolWorker *Entry);
   /// The adviser of advised queues; without one their jobs wait.
   void useAdviser(Adviser &Asked) { Policy = &Asked; }
+  /// Called with the spans of tasks while this daemon owns the pool.
+  void observe(SpanObserver Called) { Observer = std::move(Called); }
   /// Called when the ownership comes and goes.
   void onRole(std::function<void(bool Owner)> Changed) {
     RoleChanged = std::move(Changed);
@@ -157,6 +159,7 @@
   Random Generator;
   std::function<void(bool)> RoleChanged;
   Adviser *Policy = nullptr;
+  SpanObserver Observer;
 
   Role Phase = Role::Follower;
   bool Retired = false;
--- a/src/pool/PoolOwnerTurn.cpp
+++ b/src/pool/PoolOwnerTurn.cpp
@@ -48,8 +48,8 @@
     return;
   }
   TimePoint Now = Clock.now();
-  // A process that was paused may wake with orders that are due, and a successor
-  // starts the same tasks elsewhere once this time is over.
+  // A process that was paused may wake with orders that are due, and a
+  // successor starts the same tasks elsewhere once this time is over.
   if (Now - RenewedAt > Limits.RenewWithoutStore) {
     stepDown("paused for too long");
     return;
@@ -175,7 +175,7 @@
   }
   Head = Version;
   CommitOut = false;
-  Scheduler->committed(Write->Jobs);
+  Scheduler->committed(Write->Jobs, Clock.now());
   Log.write(LogLevel::Routine, "owner.recorded",
             {{"revision", Version.value()},
              {"jobs", Write->Jobs.size()},
--- a/src/pool/PoolScheduler.cpp
+++ b/src/pool/PoolScheduler.cpp
@@ -245,7 +245,8 @@
   });
 }
 
-void PoolScheduler::committed(const std::vector<JobChange> &Changes) {
+void PoolScheduler::committed(const std::vector<JobChange> &Changes,
+                              TimePoint Now) {
   for (const JobChange &Change : Changes) {
     auto Found = Jobs.find(Change.Job);
     if (Found == Jobs.end())
@@ -261,6 +262,7 @@
       if (Owner != Jobs.end() && Owner->second.Committed < End.Version)
         break;
       On.Acknowledged = End.Sequence;
+      observed(PoolSpan::Recorded, Now - End.TakenAt);
       On.OpenEnds.pop_front();
     }
   }
--- a/src/pool/PoolScheduler.h
+++ b/src/pool/PoolScheduler.h
@@ -10,6 +10,7 @@
 #include "pool/JobProgress.h"
 #include "pool/PoolConfiguration.h"
 #include "pool/PoolLoad.h"
+#include "pool/PoolSpan.h"
 #include "pool/PoolWorker.h"
 #include "pool/RunTable.h"
 #include "pool/TaskPlacer.h"
@@ -99,6 +100,9 @@
 public:
   PoolScheduler(const PoolLimits &Limits, DecisionLog &Log);
 
+  /// Called with the spans of tasks from now on.
+  void observe(SpanObserver Called) { Observer = std::move(Called); }
+
   void configure(const PoolConfiguration &Configuration);
   /// Failure domains in which nothing may start.
   void setDomainsOut(std::set<DomainId> Out);
@@ -139,7 +143,7 @@
   bool hasChanges() const;
   /// The changes are recorded: planned runs may be ordered, ends may be
   /// acknowledged.
-  void committed(const std::vector<JobChange> &Changes);
+  void committed(const std::vector<JobChange> &Changes, TimePoint Now);
 
   /// The worker as the directory described it last; null if it is unknown.
   const PoolWorker *worker(const WorkerId &Id) const;
@@ -178,6 +182,7 @@
     std::uint64_t Sequence = 0;
     JobId Owner;
     std::uint64_t Version = 0;
+    TimePoint TakenAt;
   };
   struct Slot {
     PoolWorker Info;
@@ -215,6 +220,8 @@
     /// 0 while the objective can be met, 1 while the job can end within three
     /// times of it, else 2.
     std::uint32_t Lateness = 0;
+    /// How long the job has waited since it was due.
+    Duration Waited{};
 
     StepKey key() const {
       const TaskGroup &First = *Groups.front();
@@ -240,6 +247,10 @@
   };
 
   GroupRef find(const TaskKey &Task);
+  void observed(PoolSpan Span, Duration Took) const {
+    if (Observer)
+      Observer(Span, Took);
+  }
   QueueTerms termsOf(const JobSpec &Spec) const;
   void addJob(const JobSpec &Spec, JobStatus Shown, JobProgress Progress);
   void place(Candidate &Next, const std::vector<TaskGroup *> &Groups,
@@ -305,6 +316,7 @@
 
   PoolLimits Limits;
   DecisionLog &Log;
+  SpanObserver Observer;
   PoolConfiguration Configuration;
   std::set<DomainId> DomainsOut;
   std::map<WorkerId, Slot> Slots;
--- a/src/pool/PoolSchedulerPass.cpp
+++ b/src/pool/PoolSchedulerPass.cpp
@@ -135,6 +135,7 @@
       Next.Owner = &Waiting;
       Next.Step = &Spec.Steps[Group.Step];
       Next.Terms = Terms;
+      Next.Waited = std::max(Duration(), Wall - Due);
       Duration Rest = chainFrom(Spec, Group.Step);
       Next.LatestStart = Due + Objective - Rest;
       // A long-running step is of use from whenever it starts.
@@ -194,6 +195,9 @@
   Next.Owner->Waiting -= Groups.size();
   for (TaskGroup *Group : Groups) {
     Group->State = GroupState::Active;
+    // Later steps wait for earlier ones, and later runs for others to end.
+    if (Group->Run == RunNumber() && Next.Step->After.empty())
+      observed(PoolSpan::Queued, Next.Waited);
     Group->Run = Group->Run.next();
     Group->Workers.assign(Chosen.begin() + static_cast<std::ptrdiff_t>(At),
                           Chosen.begin() +
--- a/src/pool/PoolSchedulerReports.cpp
+++ b/src/pool/PoolSchedulerReports.cpp
@@ -177,7 +177,7 @@
     }
   }
   On.OpenEnds.push_back(
-      {End.Sequence, End.Task.Job, Ref.Owner ? Ref.Owner->Version : 0});
+      {End.Sequence, End.Task.Job, Ref.Owner ? Ref.Owner->Version : 0, Now});
 }
 
 void PoolScheduler::taskFailed(Slot &On, Job &Owner, TaskGroup &Group,
@@ -330,6 +330,7 @@
     if (Run.Phase == RunPhase::Ordered) {
       Run.Phase = RunPhase::Confirmed;
       Run.ConfirmedAt = Now;
+      observed(PoolSpan::Started, Now - Run.OrderedAt);
     }
     return;
   case OrderResult::Unknown:
