Give a workspace its guarantee back from urgent work that borrows it

Cause: urgent work never gave way, and guarantees were decoded but used nowhere. A workspace whose urgent jobs filled the pool kept all others out until they ended, whatever was guaranteed to these.

Change: GuaranteeUse counts what the urgent work of each workspace needs and holds. Work within its guarantee comes first among urgent work, and reclaims room from workspaces that ask for more than theirs, never below their guarantee and after all lower priorities.

Tests: the first of four waited 10 s (its limit) before the change and less than 2 s after it.

--- a/src/pool/PoolScheduler.h
+++ b/src/pool/PoolScheduler.h
@@ -7,6 +7,7 @@
 #include "pool/AdviceBook.h"
 #include "pool/FillPace.h"
 #include "pool/GangHold.h"
+#include "pool/GuaranteeUse.h"
 #include "pool/JobProgress.h"
 #include "pool/PoolConfiguration.h"
 #include "pool/PoolLoad.h"
@@ -220,6 +221,8 @@
     /// 0 while the objective can be met, 1 while the job can end within three
     /// times of it, else 2.
     std::uint32_t Lateness = 0;
+    /// Urgent work of a workspace that asks for no more than its guarantee.
+    bool Guaranteed = false;
     /// How long the job has waited since it was due.
     Duration Waited{};
 
@@ -293,6 +296,12 @@
   Victims victimsOn(const Slot &On, const Candidate &For, std::uint32_t Tasks,
                     TimePoint Now);
   bool reclaim(Candidate &Urgent, bool OneRack, TimePoint Now);
+  /// Whether a run may be stopped for the urgent job, and whether it is urgent
+  /// itself.
+  bool givesWay(const Job &Owner, const PlacedRun &Run,
+                const Candidate &For) const;
+  /// Counts what urgent work needs and holds.
+  void countGuarantees();
   double lossOf(const TaskGroup &Group, const Job &Owner, TimePoint Now) const;
   void orderStarts(PoolOrders &Orders, TimePoint Now);
   void orderStops(PoolOrders &Orders, TimePoint Now);
@@ -322,6 +331,8 @@
   std::map<WorkerId, Slot> Slots;
   std::map<JobId, Job> Jobs;
   UrgentReserve Reserve;
+  /// Urgent work by workspace in this turn; only while some of it waits.
+  std::optional<GuaranteeUse> Guarantees;
   AdviceBook Advice;
   std::optional<AdviceQuestion> Question;
   /// Room for the first gang in the order that does not fit.
--- a/src/pool/PoolSchedulerPass.cpp
+++ b/src/pool/PoolSchedulerPass.cpp
@@ -21,6 +21,9 @@
 constexpr Duration FailureMemory = std::chrono::seconds(10);
 /// A long-running task does not make room within any span that is planned.
 constexpr Duration LastsOn = std::chrono::hours(1);
+/// What it costs to stop urgent work, in core seconds, beside what is lost:
+/// above any loss of other work, so that this gives way first.
+constexpr double UrgentLoss = 1e6;
 /// A worker on which this many jobs failed lately is left alone.
 constexpr std::size_t FailuresToAvoid = 2;
 /// When more than one in so many workers looks bad, all are used.
@@ -104,6 +107,7 @@
 
 std::vector<PoolScheduler::Candidate> PoolScheduler::candidates(WallTime Wall) {
   std::vector<Candidate> Result;
+  bool Urgent = false;
   for (auto &[Id, Waiting] : Jobs) {
     if (isFinal(Waiting.Status) || Waiting.Waiting == 0)
       continue;
@@ -135,6 +139,7 @@
       Next.Owner = &Waiting;
       Next.Step = &Spec.Steps[Group.Step];
       Next.Terms = Terms;
+      Urgent = Urgent || Terms.Priority == 0;
       Next.Waited = std::max(Duration(), Wall - Due);
       Duration Rest = chainFrom(Spec, Group.Step);
       Next.LatestStart = Due + Objective - Rest;
@@ -144,11 +149,19 @@
     }
     Flush();
   }
+  Guarantees.reset();
+  if (Urgent) {
+    countGuarantees();
+    for (Candidate &Next : Result)
+      Next.Guaranteed = Next.Terms.Priority == 0 &&
+                        Guarantees->within(Next.Owner->Spec.Workspace);
+  }
   std::stable_sort(Result.begin(), Result.end(),
                    [](const Candidate &Left, const Candidate &Right) {
                      auto Key = [](const Candidate &Of) {
-                       return std::tuple(Of.Terms.Priority != 0, Of.Lateness,
-                                         Of.Terms.Priority, Of.LatestStart);
+                       return std::tuple(Of.Terms.Priority != 0, !Of.Guaranteed,
+                                         Of.Lateness, Of.Terms.Priority,
+                                         Of.LatestStart);
                      };
                      return Key(Left) < Key(Right);
                    });
@@ -379,12 +392,14 @@
       continue;
     }
     GroupRef Ref = find(Key.first);
-    if (!Ref.Group || termsOf(Ref.Owner->Spec).Priority == 0 ||
-        Ref.Owner->Spec.Steps[Key.first.Step].MayMiss != 0)
+    if (!Ref.Group || Ref.Owner->Spec.Steps[Key.first.Step].MayMiss != 0 ||
+        !givesWay(*Ref.Owner, Run, For))
       continue;
     double Cost =
         lossOf(*Ref.Group, *Ref.Owner, Now) /
         std::max(0.001, coreSeconds(Run.Room, std::chrono::seconds(1)));
+    if (termsOf(Ref.Owner->Spec).Priority == 0)
+      Cost += UrgentLoss;
     Choices.push_back({Ref, Run.Room, Cost});
   }
   std::stable_sort(Choices.begin(), Choices.end(),
@@ -398,12 +413,40 @@
     Free += Next.Room;
     Result.Groups.push_back(Next.Ref);
     Result.Cost += lossOf(*Next.Ref.Group, *Next.Ref.Owner, Now);
+    if (termsOf(Next.Ref.Owner->Spec).Priority == 0)
+      Result.Cost += UrgentLoss;
   }
   if (!Wanted.fitsIn(Free))
     Result.Cost = -1.0;
   return Result;
 }
 
+bool PoolScheduler::givesWay(const Job &Owner, const PlacedRun &Run,
+                             const Candidate &For) const {
+  if (termsOf(Owner.Spec).Priority != 0)
+    return true;
+  return For.Guaranteed &&
+         Guarantees->canReturn(Owner.Spec.Workspace, Run.Room.Accelerators);
+}
+
+void PoolScheduler::countGuarantees() {
+  Guarantees.emplace(Configuration.Guarantees);
+  for (const auto &[Id, Each] : Jobs) {
+    if (isFinal(Each.Status) || termsOf(Each.Spec).Priority != 0)
+      continue;
+    Guarantees->needs(Each.Spec);
+    if (Each.Live == 0)
+      continue;
+    for (const TaskGroup &Group : Each.Progress.groups()) {
+      if (Group.State == GroupState::Active) {
+        Guarantees->holds(Each.Spec.Workspace,
+                          Each.Spec.Steps[Group.Step].PerTask.Accelerators *
+                              static_cast<std::int32_t>(Group.Members));
+      }
+    }
+  }
+}
+
 bool PoolScheduler::reclaim(Candidate &Urgent, bool OneRack, TimePoint Now) {
   struct Unit {
     double Cost;
@@ -457,8 +500,15 @@
     Slot &On = Slots.at(Id);
     On.ReservedFor = Urgent.Owner->Spec.Id;
     On.ReservedUntil = Now + Limits.ReclaimTime;
-    for (GroupRef Ref : victimsOn(On, Urgent, Number, Now).Groups)
+    for (GroupRef Ref : victimsOn(On, Urgent, Number, Now).Groups) {
+      if (termsOf(Ref.Owner->Spec).Priority == 0) {
+        Guarantees->released(
+            Ref.Owner->Spec.Workspace,
+            Ref.Owner->Spec.Steps[Ref.Group->Step].PerTask.Accelerators *
+                static_cast<std::int32_t>(Ref.Group->Members));
+      }
       abort(*Ref.Owner, *Ref.Group, "reclaimed");
+    }
   }
   Log.write(LogLevel::Notice, "job.reclaims",
             {{"job", jobName(Urgent.Owner->Spec.Id)},
