--- a/cmake/Node.cmake
+++ b/cmake/Node.cmake
@@ -8,7 +8,7 @@
   src/edge/CurlExchange.cpp src/edge/EventLog.cpp src/edge/EventLoop.cpp
   src/edge/Http.cpp src/edge/LogLine.cpp src/edge/Metrics.cpp
   platform/AdviserLink.cpp platform/DirectoryFeed.cpp
-  platform/Gateway.cpp platform/NodeSettings.cpp platform/OperatorFeed.cpp
+  platform/Gateway.cpp platform/Node.cpp platform/NodeSettings.cpp platform/OperatorFeed.cpp
   platform/StoreCodec.cpp platform/StoreLink.cpp platform/WireCodec.cpp
   platform/WorkerOrdersLink.cpp)
 target_include_directories(banyanworks_node PUBLIC src platform)
