Carry out waves of maintenance

Cause: waves that operators ask for were ignored, so that each was missed whole.

Change: MaintenancePlan empties as many hosts of a wave as may be down at once, idle ones first, takes a host down only while it holds no work, and moves work when the host's share of the wave's time is over; long-running steps never miss more tasks than they may. An order without an answer counts as down until one is answered, since it may be carried out seconds later. A new owner begins anew: an order for a host that is through is answered as done and has no effect. platform/ translates (HostControlLink, OperatorFeed).

--- a/cmake/Node.cmake
+++ b/cmake/Node.cmake
@@ -8,6 +8,7 @@
   src/edge/CurlExchange.cpp src/edge/EventLog.cpp src/edge/EventLoop.cpp
   src/edge/Http.cpp src/edge/LogLine.cpp src/edge/Metrics.cpp
   platform/AdviserLink.cpp platform/DirectoryFeed.cpp
+  platform/HostControlLink.cpp
   platform/Gateway.cpp platform/Node.cpp platform/NodeSettings.cpp platform/OperatorFeed.cpp
   platform/StoreCodec.cpp platform/StoreLink.cpp platform/WireCodec.cpp
   platform/WorkerOrdersLink.cpp)
--- a/src/edge/CurlExchange.h
+++ b/src/edge/CurlExchange.h
@@ -7,6 +7,7 @@
 #include "edge/Http.h"
 
 #include <cstdint>
+#include <string>
 
 #include <curl/curl.h>
 
@@ -40,6 +41,9 @@
   std::uint64_t BytesReceived = 0;
 };
 
+/// \p Text as it stands in the query of a path.
+std::string escapeQuery(const std::string &Text);
+
 } // namespace banyanworks
 
 #endif
--- /dev/null
+++ b/src/pool/Maintenance.h
@@ -0,0 +1,65 @@
+/// \file
+/// Defines Maintenance, which carries out the waves of maintenance that
+/// operators ask for, while this daemon owns the pool.
+#ifndef BANYANWORKS_POOL_MAINTENANCE_H
+#define BANYANWORKS_POOL_MAINTENANCE_H
+
+#include "pool/MaintenancePlan.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string_view>
+
+namespace banyanworks {
+class DecisionLog;
+class Timers;
+} // namespace banyanworks
+
+namespace banyanworks::pool {
+
+class HostControl;
+class PoolOwner;
+
+class Maintenance {
+public:
+  Maintenance(HostControl &Control, PoolOwner &Owner, Timers &Clock,
+              DecisionLog &Log);
+
+  /// A wave that operators ask for; null if they withdrew it.
+  void waveChanged(WaveNumber Number, const MaintenanceWave *Wave);
+  /// Call when the ownership of the pool comes and goes.
+  void ownershipChanged(bool Owns);
+
+private:
+  struct Running {
+    MaintenancePlan Plan;
+    /// What the operators were told last.
+    bool ToldRunning = false;
+    bool ToldCompleted = false;
+    bool ReportOut = false;
+  };
+
+  void tick();
+  void list();
+  void carryOut(Running &Wave, TimePoint Now);
+  void takeDown(WaveNumber Wave, const HostId &Host);
+  void report(Running &Wave);
+  bool busy() const;
+
+  HostControl &Control;
+  PoolOwner &Owner;
+  Timers &Clock;
+  DecisionLog &Log;
+  std::map<WaveNumber, MaintenanceWave> Asked;
+  std::map<WaveNumber, Running> Waves;
+  bool Owns = false;
+  bool Ticking = false;
+  bool ListOut = false;
+  /// Counts changes of the ownership; answers to earlier calls are dropped.
+  std::uint64_t Term = 0;
+};
+
+} // namespace banyanworks::pool
+
+#endif
--- a/src/pool/PoolOwner.cpp
+++ b/src/pool/PoolOwner.cpp
@@ -264,6 +264,18 @@
   turnSoon();
 }
 
+void PoolOwner::leave(std::set<WorkerId> Leaving, std::set<WorkerId> Pressed) {
+  if (Scheduler)
+    Scheduler->setLeaving(std::move(Leaving), std::move(Pressed));
+}
+
+bool PoolOwner::holdsRuns(const WorkerId &Id) const {
+  if (Phase != Role::Owner)
+    return true;
+  auto State = Scheduler->renewalState(Id);
+  return State && (State->HoldsRuns || State->HasOpenEnds);
+}
+
 void PoolOwner::workerChanged(const WorkerId &Id, const PoolWorker *Entry) {
   if (Entry)
     Directory[Id] = *Entry;
--- a/src/pool/PoolOwner.h
+++ b/src/pool/PoolOwner.h
@@ -92,6 +92,11 @@
   void setDomainsOut(std::set<DomainId> Out);
   /// The directory of workers: an entry as it is now, or nothing if it is gone.
   void workerChanged(const WorkerId &Id, const PoolWorker *Entry);
+  /// Workers that get no new work, and those of them that their work is moved
+  /// away from, until the next call.
+  void leave(std::set<WorkerId> Leaving, std::set<WorkerId> Pressed);
+  /// Whether a worker may still hold work; true while that is not known.
+  bool holdsRuns(const WorkerId &Id) const;
   /// The adviser of advised queues; without one their jobs wait.
   void useAdviser(Adviser &Asked) { Policy = &Asked; }
   /// Called with the spans of tasks while this daemon owns the pool.
--- a/src/pool/PoolScheduler.cpp
+++ b/src/pool/PoolScheduler.cpp
@@ -30,6 +30,12 @@
   DomainsOut = std::move(Out);
 }
 
+void PoolScheduler::setLeaving(std::set<WorkerId> Leaving,
+                               std::set<WorkerId> Pressed) {
+  LeavingWorkers = std::move(Leaving);
+  PressedWorkers = std::move(Pressed);
+}
+
 void PoolScheduler::updateWorker(const PoolWorker &Worker, TimePoint Now) {
   Slot &On = Slots[Worker.Id];
   if (!Worker.Draining)
--- a/src/pool/PoolScheduler.h
+++ b/src/pool/PoolScheduler.h
@@ -107,6 +107,8 @@
   void configure(const PoolConfiguration &Configuration);
   /// Failure domains in which nothing may start.
   void setDomainsOut(std::set<DomainId> Out);
+  /// Workers that get no new work, and those of them whose work is moved.
+  void setLeaving(std::set<WorkerId> Leaving, std::set<WorkerId> Pressed);
   void updateWorker(const PoolWorker &Worker, TimePoint Now);
   /// The directory no longer lists the worker; its runs are kept until they
   /// are surely over.
@@ -322,12 +324,18 @@
   void moveFromSlow(TimePoint Now);
   /// Moves work away from workers that leave before it can end.
   void leaveDraining(TimePoint Now);
+  /// Moves work away from workers that are about to be taken down.
+  void leavePressed();
+  /// Whether one more task of a long-running step may be away by our doing.
+  bool mayBeAway(const Job &Owner, const TaskGroup &Group) const;
 
   PoolLimits Limits;
   DecisionLog &Log;
   SpanObserver Observer;
   PoolConfiguration Configuration;
   std::set<DomainId> DomainsOut;
+  std::set<WorkerId> LeavingWorkers;
+  std::set<WorkerId> PressedWorkers;
   std::map<WorkerId, Slot> Slots;
   std::map<JobId, Job> Jobs;
   UrgentReserve Reserve;
--- a/src/pool/PoolSchedulerPass.cpp
+++ b/src/pool/PoolSchedulerPass.cpp
@@ -50,7 +50,8 @@
 bool PoolScheduler::usable(const Slot &On, const Candidate &For,
                            TimePoint Now) const {
   if (!On.Listed || !On.Heard || On.Silent || On.Suspect || On.Info.Draining ||
-      Now < On.RefusedUntil || DomainsOut.contains(On.Info.Domain))
+      Now < On.RefusedUntil || DomainsOut.contains(On.Info.Domain) ||
+      LeavingWorkers.contains(On.Info.Id))
     return false;
   return offers(On.Info, For.Terms.Service, *For.Step);
 }
@@ -745,6 +746,53 @@
   }
 }
 
+bool PoolScheduler::mayBeAway(const Job &Owner, const TaskGroup &Group) const {
+  const StepSpec &Step = Owner.Spec.Steps[Group.Step];
+  if (!Step.LongRunning || Step.MayMiss == 0)
+    return true;
+  std::uint32_t Away = 0;
+  for (const TaskGroup &Other : Owner.Progress.groups()) {
+    if (Other.Step != Group.Step || Other.Occurrence != Group.Occurrence)
+      continue;
+    bool AtWork = false;
+    if (Other.State == GroupState::Active && !Other.Workers.empty()) {
+      TaskKey Task{Owner.Spec.Id, Other.Occurrence, Other.Step,
+                   Other.FirstIndex};
+      auto On = Slots.find(Other.Workers.front());
+      if (On != Slots.end()) {
+        auto Run = On->second.Runs.find({Task, Other.Run});
+        AtWork = Run != On->second.Runs.end() && !Run->second.StopWanted &&
+                 Run->second.Percent == 100;
+      }
+    }
+    Away += AtWork ? 0 : 1;
+  }
+  return Away < Step.MayMiss;
+}
+
+void PoolScheduler::leavePressed() {
+  for (const WorkerId &Id : LeavingWorkers) {
+    auto Found = Slots.find(Id);
+    if (Found == Slots.end())
+      continue;
+    std::vector<TaskKey> Leaving;
+    for (const auto &[Key, Run] : Found->second.Runs) {
+      GroupRef Ref = find(Key.first);
+      if (Run.StopWanted || !Ref.Group)
+        continue;
+      // A long-running task would never end by itself.
+      bool Lasts = Ref.Owner->Spec.Steps[Key.first.Step].LongRunning;
+      if (Lasts || PressedWorkers.contains(Id))
+        Leaving.push_back(Key.first);
+    }
+    for (const TaskKey &Task : Leaving) {
+      GroupRef Ref = find(Task);
+      if (Ref.Group && mayBeAway(*Ref.Owner, *Ref.Group))
+        abort(*Ref.Owner, *Ref.Group, "maintenance");
+    }
+  }
+}
+
 PoolOrders PoolScheduler::pass(TimePoint Now, WallTime Wall) {
   std::erase_if(Slots, [](const auto &Entry) {
     const Slot &On = Entry.second;
@@ -757,6 +805,7 @@
   }
   giveUpGangs(Now);
   leaveDraining(Now);
+  leavePressed();
   judgeWorkers(Now);
   moveFromSlow(Now);
   schedule(Now, Wall);
--- /dev/null
+++ b/test/support/FakeHosts.h
@@ -0,0 +1,62 @@
+/// \file
+/// Defines FakeHosts, hosts of workers that go down for maintenance in virtual
+/// time and come back with a new worker.
+#ifndef BANYANWORKS_TEST_SUPPORT_FAKEHOSTS_H
+#define BANYANWORKS_TEST_SUPPORT_FAKEHOSTS_H
+
+#include "pool/HostControl.h"
+#include "support/PoolWorld.h"
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace banyanworks::testing {
+
+/// One host for each worker of a PoolWorld, under the name "host-" and its id.
+/// The worker comes back under its own id as a new process.
+class FakeHosts : public pool::HostControl {
+public:
+  explicit FakeHosts(PoolWorld &World);
+
+  /// Answers to orders are lost, and the orders carried out so much later.
+  Duration LateBy{};
+  bool LosesAnswers = false;
+  /// The platform does not answer at all.
+  bool Silent = false;
+
+  void list(std::function<void(std::optional<std::vector<pool::ListedHost>>)>
+                Done) override;
+  void takeDown(const pool::HostId &Host, pool::WaveNumber Wave, Epoch Token,
+                std::function<void(pool::MaintenanceResult)> Done) override;
+  void report(pool::WaveNumber Wave, bool Completed,
+              std::function<void(bool)> Done) override;
+
+  std::vector<pool::HostId> hosts() const;
+  std::size_t through() const { return Through; }
+  std::size_t mostDown() const { return MostDown; }
+  std::size_t tasksKilled() const { return TasksKilled; }
+  /// "running" or "completed"; empty before the first report.
+  const std::string &told() const { return Told; }
+
+private:
+  struct Host {
+    WorkerId Worker;
+    bool Down = false;
+    bool Through = false;
+  };
+
+  pool::MaintenanceResult carryOut(const pool::HostId &Id);
+
+  PoolWorld &World;
+  std::map<pool::HostId, Host> Hosts;
+  std::size_t Down = 0;
+  std::size_t MostDown = 0;
+  std::size_t Through = 0;
+  std::size_t TasksKilled = 0;
+  std::string Told;
+};
+
+} // namespace banyanworks::testing
+
+#endif
--- a/test/support/FakeWorkerPool.h
+++ b/test/support/FakeWorkerPool.h
@@ -57,6 +57,9 @@
   void restart(const WorkerId &Id);
   bool up(const WorkerId &Id) const { return Workers.at(Id).Up; }
   std::uint64_t life(const WorkerId &Id) const { return Workers.at(Id).Life; }
+  const pool::PoolWorker &info(const WorkerId &Id) const {
+    return Workers.at(Id).Info;
+  }
   std::vector<WorkerId> ids() const;
 
   pool::OrderResult start(const pool::StartOrder &Order, Epoch Token,
--- a/test/support/PoolWorld.cpp
+++ b/test/support/PoolWorld.cpp
@@ -169,7 +169,7 @@
 }
 
 void PoolWorld::list(const WorkerId &Id, bool Draining) {
-  PoolWorker &Worker = Directory.at(Id);
+  PoolWorker &Worker = Directory.emplace(Id, Pool.info(Id)).first->second;
   Worker.Draining = Draining;
   Worker.LeavesIn = 2s;
   for (auto &Of : Daemons)
