Name the parts of admission for what they say, and find an answered run once

Read as a newcomer: three functions were called turnedAway and meant a decision, a mark and a list; three handlers of answers looked up the run in the same nine lines.

--- a/src/pool/Admission.cpp
+++ b/src/pool/Admission.cpp
@@ -1,5 +1,5 @@
 /// \file
-/// Implements turnedAway().
+/// Implements admissionDelay().
 #include "pool/Admission.h"
 
 #include "pool/JobObjective.h"
@@ -28,8 +28,8 @@
 
 } // namespace
 
-std::optional<Duration> turnedAway(const JobSpec &Spec,
-                                   const ServiceLoad &Load) {
+std::optional<Duration> admissionDelay(const JobSpec &Spec,
+                                       const ServiceLoad &Load) {
   const QueueTerms &Terms = Spec.Terms;
   bool Lasts = std::any_of(
       Spec.Steps.begin(), Spec.Steps.end(),
--- a/src/pool/Admission.h
+++ b/src/pool/Admission.h
@@ -1,6 +1,6 @@
 /// \file
-/// Defines turnedAway(), which decides at its submission whether a job can end
-/// in time.
+/// Defines admissionDelay(), which decides at its submission whether a job can
+/// end in time.
 #ifndef BANYANWORKS_POOL_ADMISSION_H
 #define BANYANWORKS_POOL_ADMISSION_H
 
@@ -20,8 +20,8 @@
 /// away: the first reclaim room, the others do not end soon.
 ///
 /// Callers are told different times, so that they do not all return at once.
-std::optional<Duration> turnedAway(const JobSpec &Spec,
-                                   const ServiceLoad &Load);
+std::optional<Duration> admissionDelay(const JobSpec &Spec,
+                                       const ServiceLoad &Load);
 
 } // namespace banyanworks::pool
 
--- a/src/pool/JobBoard.cpp
+++ b/src/pool/JobBoard.cpp
@@ -58,15 +58,15 @@
     jobChanged(Key, Entry);
 }
 
-StoreRevision JobBoard::turnedAway(JobId Id) const {
-  auto Found = TurnedAway.find(Id);
-  return Found == TurnedAway.end() ? StoreRevision() : Found->second;
+StoreRevision JobBoard::refusalMark(JobId Id) const {
+  auto Found = Refused.find(Id);
+  return Found == Refused.end() ? StoreRevision() : Found->second;
 }
 
-std::vector<JobId> JobBoard::allTurnedAway() const {
+std::vector<JobId> JobBoard::refusedJobs() const {
   std::vector<JobId> Result;
-  Result.reserve(TurnedAway.size());
-  for (const auto &Entry : TurnedAway)
+  Result.reserve(Refused.size());
+  for (const auto &Entry : Refused)
     Result.push_back(Entry.first);
   return Result;
 }
@@ -102,13 +102,13 @@
     return;
   }
   if (Prefix == JobPrefix) {
-    if (Changed && Changed->Value == TurnedAwayMark) {
-      TurnedAway[*Id] = Changed->Version;
+    if (Changed && Changed->Value == RefusalMark) {
+      Refused[*Id] = Changed->Version;
       if (JobChanged)
         JobChanged(*Id);
       return;
     }
-    TurnedAway.erase(*Id);
+    Refused.erase(*Id);
   }
   Entry &Job = Jobs[*Id];
   if (Prefix == CancelPrefix) {
--- a/src/pool/JobBoard.h
+++ b/src/pool/JobBoard.h
@@ -44,8 +44,8 @@
   std::size_t pending(const QueueId &Queue) const;
   /// The mark of a job that was turned away; the zero revision if there is
   /// none.
-  StoreRevision turnedAway(JobId Id) const;
-  std::vector<JobId> allTurnedAway() const;
+  StoreRevision refusalMark(JobId Id) const;
+  std::vector<JobId> refusedJobs() const;
   /// What the owner told last of the pool's load; null if that is old.
   const PoolLoad *load() const;
   /// The entry of the pool's owner; nothing if there is none.
@@ -67,7 +67,7 @@
   Timers &Clock;
   DecisionLog &Log;
   std::map<JobId, Entry> Jobs;
-  std::map<JobId, StoreRevision> TurnedAway;
+  std::map<JobId, StoreRevision> Refused;
   std::optional<PoolLoad> Load;
   TimePoint LoadSeenAt;
   std::optional<StoreEntry> Owner;
--- a/src/pool/JobIntake.cpp
+++ b/src/pool/JobIntake.cpp
@@ -42,14 +42,14 @@
                      const JobBoard &Board, const IntakeLimits &Limits)
     : Store(Store), Clock(Clock), Log(Log), Board(Board), Limits(Limits) {}
 
-std::optional<Duration> JobIntake::turnedAway(const JobSpec &Spec) const {
+std::optional<Duration> JobIntake::admissionDelay(const JobSpec &Spec) const {
   const PoolLoad *Load = Board.load();
   if (!Load)
     return std::nullopt;
   auto Service = Load->Services.find(Spec.Terms.Service);
   if (Service == Load->Services.end())
     return std::nullopt;
-  return pool::turnedAway(Spec, Service->second);
+  return pool::admissionDelay(Spec, Service->second);
 }
 
 void JobIntake::submit(const JobSpec &Spec, TimePoint Deadline,
@@ -63,9 +63,9 @@
   }
   auto Write = std::make_shared<Creation>();
   Write->Key = std::string(JobPrefix) + jobName(Spec.Id);
-  Write->Replaces = Board.turnedAway(Spec.Id);
-  if (auto Wait = turnedAway(Spec)) {
-    Write->Value = TurnedAwayMark;
+  Write->Replaces = Board.refusalMark(Spec.Id);
+  if (auto Wait = admissionDelay(Spec)) {
+    Write->Value = RefusalMark;
     Write->RetryAfter = *Wait;
   } else {
     Write->Value = encodeJobSpec(Spec);
@@ -104,13 +104,13 @@
   };
   switch (Result.Status) {
   case CallStatus::Done:
-    Report(Write->Value == TurnedAwayMark ? Reason::DeadlineUnreachable
-                                          : Reason::None);
+    Report(Write->Value == RefusalMark ? Reason::DeadlineUnreachable
+                                       : Reason::None);
     return;
   case CallStatus::Rejected:
     // The key exists: the job was accepted before, or turned away elsewhere.
     if (!Result.Current.empty() &&
-        Result.Current.front().Value == TurnedAwayMark) {
+        Result.Current.front().Value == RefusalMark) {
       Write->RetryAfter = std::max(Write->RetryAfter, Limits.LeastRetryAfter);
       Report(Reason::DeadlineUnreachable);
       return;
@@ -216,7 +216,7 @@
                if (Result.Status != CallStatus::Done)
                  Outcome = Reason::StoreUnavailable;
                else if (Result.Entries.empty() ||
-                        Result.Entries.front().Value == TurnedAwayMark)
+                        Result.Entries.front().Value == RefusalMark)
                  Outcome = Reason::UnknownJob;
                Log.write(LogLevel::Routine, "job.looked_up",
                          {{"job", jobName(Id)},
--- a/src/pool/JobIntake.h
+++ b/src/pool/JobIntake.h
@@ -79,7 +79,7 @@
   struct Creation;
 
   /// Whether and until when the job is better turned away.
-  std::optional<Duration> turnedAway(const JobSpec &Spec) const;
+  std::optional<Duration> admissionDelay(const JobSpec &Spec) const;
   void create(const std::shared_ptr<Creation> &Write);
   void created(const std::shared_ptr<Creation> &Write,
                const TransactionResult &Result);
--- a/src/pool/Maintenance.cpp
+++ b/src/pool/Maintenance.cpp
@@ -76,7 +76,7 @@
   if (!Owns || Ticking)
     return;
   if (!busy()) {
-    Owner.leave({}, {});
+    Owner.setLeaving({}, {});
     return;
   }
   Ticking = true;
@@ -93,7 +93,7 @@
       takeDown(Number, Host);
     report(Wave);
   }
-  Owner.leave(std::move(All.Leaving), std::move(All.Pressed));
+  Owner.setLeaving(std::move(All.Leaving), std::move(All.Pressed));
   std::uint64_t Mine = Term;
   Clock.after(TickEvery, [this, Mine] {
     if (Mine != Term)
--- a/src/pool/PoolOwner.cpp
+++ b/src/pool/PoolOwner.cpp
@@ -181,7 +181,7 @@
   Phase = Role::Owner;
   for (const auto &Entry : Board.jobs())
     jobSeen(Entry.first);
-  for (JobId Id : Board.allTurnedAway())
+  for (JobId Id : Board.refusedJobs())
     jobSeen(Id);
   Log.write(LogLevel::Change, "owner.recovered",
             {{"token", Token.value()},
@@ -264,7 +264,8 @@
   turnSoon();
 }
 
-void PoolOwner::leave(std::set<WorkerId> Leaving, std::set<WorkerId> Pressed) {
+void PoolOwner::setLeaving(std::set<WorkerId> Leaving,
+                           std::set<WorkerId> Pressed) {
   if (Scheduler)
     Scheduler->setLeaving(std::move(Leaving), std::move(Pressed));
 }
@@ -294,7 +295,7 @@
   if (Phase != Role::Owner)
     return;
   const JobBoard::Entry *Job = Board.job(Id);
-  if (Board.turnedAway(Id) != StoreRevision()) {
+  if (Board.refusalMark(Id) != StoreRevision()) {
     FinalSince.emplace(Id, Clock.now());
     return;
   }
--- a/src/pool/PoolOwner.h
+++ b/src/pool/PoolOwner.h
@@ -94,7 +94,7 @@
   void workerChanged(const WorkerId &Id, const PoolWorker *Entry);
   /// Workers that get no new work, and those of them that their work is moved
   /// away from, until the next call.
-  void leave(std::set<WorkerId> Leaving, std::set<WorkerId> Pressed);
+  void setLeaving(std::set<WorkerId> Leaving, std::set<WorkerId> Pressed);
   /// Whether a worker may still hold work; true while that is not known.
   bool holdsRuns(const WorkerId &Id) const;
   /// The adviser of advised queues; without one their jobs wait.
--- a/src/pool/PoolOwnerTurn.cpp
+++ b/src/pool/PoolOwnerTurn.cpp
@@ -310,7 +310,7 @@
     std::string Name = jobName(Entry->first);
     Transaction Changes;
     // The caller may just have come back, and the mark be replaced.
-    if (StoreRevision Mark = Board.turnedAway(Entry->first);
+    if (StoreRevision Mark = Board.refusalMark(Entry->first);
         Mark != StoreRevision())
       Changes.Conditions.push_back({std::string(JobPrefix) + Name, Mark});
     for (std::string_view Prefix : {JobPrefix, StatusPrefix, CancelPrefix})
--- a/src/pool/PoolScheduler.h
+++ b/src/pool/PoolScheduler.h
@@ -266,6 +266,9 @@
   void settle(Slot &On, RunTable::iterator Run);
   void takeEnd(Slot &On, const ReportedEnd &End, TimePoint Now);
   void taskFailed(Slot &On, Job &Owner, TaskGroup &Group, TimePoint Now);
+  /// The run that an order was about, once it is answered; null if it is over.
+  PlacedRun *answeredRun(const WorkerId &Worker, const TaskKey &Task,
+                         RunNumber Number, OrderResult Result);
   void adopt(Slot &On, const ReportedRun &Seen, TimePoint SentAt,
              TimePoint Now);
   /// Settles runs that the worker held before it was asked and does not list.
--- a/src/pool/PoolSchedulerReports.cpp
+++ b/src/pool/PoolSchedulerReports.cpp
@@ -303,18 +303,24 @@
   runsGone(Found->second, Gone, "lease_over");
 }
 
-void PoolScheduler::startAnswered(const StartOrder &Order, OrderResult Result,
-                                  TimePoint Now) {
+PlacedRun *PoolScheduler::answeredRun(const WorkerId &Worker,
+                                      const TaskKey &Task, RunNumber Number,
+                                      OrderResult Result) {
   if (Result == OrderResult::Fenced)
     Fenced = true;
-  auto Where = Slots.find(Order.Worker);
-  if (Where == Slots.end())
-    return;
-  Slot &On = Where->second;
-  auto Found = On.Runs.find({Order.Task, Order.Run});
-  if (Found == On.Runs.end())
+  auto On = Slots.find(Worker);
+  if (On == Slots.end())
+    return nullptr;
+  auto Run = On->second.Runs.find({Task, Number});
+  return Run == On->second.Runs.end() ? nullptr : &Run->second;
+}
+
+void PoolScheduler::startAnswered(const StartOrder &Order, OrderResult Result,
+                                  TimePoint Now) {
+  PlacedRun *Found = answeredRun(Order.Worker, Order.Task, Order.Run, Result);
+  if (!Found)
     return;
-  PlacedRun &Run = Found->second;
+  PlacedRun &Run = *Found;
   Run.OrderOut = false;
   Run.NextOrder = Now + Limits.OrderRetry;
   Log.write(Result == OrderResult::Done ? LogLevel::Routine : LogLevel::Notice,
@@ -343,7 +349,7 @@
   case OrderResult::Unhealthy:
   case OrderResult::OtherLife:
   case OrderResult::Malformed:
-    On.RefusedUntil = Now + Limits.RefusalPause;
+    Slots.at(Order.Worker).RefusedUntil = Now + Limits.RefusalPause;
     break;
   case OrderResult::NoTicket:
     Advice.refused({Order.Task.Job, Order.Task.Occurrence, Order.Task.Step},
@@ -359,15 +365,10 @@
 
 void PoolScheduler::stopAnswered(const StopOrder &Order, OrderResult Result,
                                  TimePoint Now) {
-  if (Result == OrderResult::Fenced)
-    Fenced = true;
-  auto Where = Slots.find(Order.Worker);
-  if (Where == Slots.end())
+  PlacedRun *Found = answeredRun(Order.Worker, Order.Task, Order.Run, Result);
+  if (!Found)
     return;
-  auto Found = Where->second.Runs.find({Order.Task, Order.Run});
-  if (Found == Where->second.Runs.end())
-    return;
-  PlacedRun &Run = Found->second;
+  PlacedRun &Run = *Found;
   Run.OrderOut = false;
   Run.NextOrder = Now + Limits.OrderRetry;
   if (Result == OrderResult::Done || Result == OrderResult::Superseded)
@@ -376,15 +377,10 @@
 
 void PoolScheduler::paceAnswered(const PaceOrder &Order, OrderResult Result,
                                  TimePoint Now) {
-  if (Result == OrderResult::Fenced)
-    Fenced = true;
-  auto Where = Slots.find(Order.Worker);
-  if (Where == Slots.end())
+  PlacedRun *Found = answeredRun(Order.Worker, Order.Task, Order.Run, Result);
+  if (!Found)
     return;
-  auto Found = Where->second.Runs.find({Order.Task, Order.Run});
-  if (Found == Where->second.Runs.end())
-    return;
-  PlacedRun &Run = Found->second;
+  PlacedRun &Run = *Found;
   Run.PaceOut = false;
   Run.NextPace = Now + Limits.OrderRetry;
   // An order without an answer may be carried out later, over a newer one.
--- a/test/correctness/pool_admission.cpp
+++ b/test/correctness/pool_admission.cpp
@@ -35,38 +35,38 @@
 } // namespace
 
 Test(pool_admission, job_behind_little_work_is_admitted) {
-  cr_assert_not(turnedAway(jobOf(1, 5s), loadOf(1, 20s)));
+  cr_assert_not(admissionDelay(jobOf(1, 5s), loadOf(1, 20s)));
 }
 
 Test(pool_admission, job_that_would_end_too_late_is_turned_away) {
   // It has 45 s and needs 5 s itself. At 0.8 of the pool, and with estimates
   // that are 2.5 times too long, 80 s of work may be ahead of it.
-  cr_assert_not(turnedAway(jobOf(1, 5s), loadOf(1, 79s)));
-  auto Wait = turnedAway(jobOf(1, 5s), loadOf(1, 120s));
+  cr_assert_not(admissionDelay(jobOf(1, 5s), loadOf(1, 79s)));
+  auto Wait = admissionDelay(jobOf(1, 5s), loadOf(1, 120s));
   cr_assert(Wait);
   cr_assert(*Wait >= 49s && *Wait <= 100s);
 }
 
 Test(pool_admission, work_of_lower_priority_is_not_in_the_way) {
-  cr_assert_not(turnedAway(jobOf(1, 5s), loadOf(2, 150s)));
+  cr_assert_not(admissionDelay(jobOf(1, 5s), loadOf(2, 150s)));
 }
 
 Test(pool_admission, urgent_work_takes_its_share_first) {
   ServiceLoad Load = loadOf(1, 60s);
-  cr_assert_not(turnedAway(jobOf(1, 5s), Load));
+  cr_assert_not(admissionDelay(jobOf(1, 5s), Load));
   Load.UrgentShare = 0.5;
-  cr_assert(turnedAway(jobOf(1, 5s), Load));
+  cr_assert(admissionDelay(jobOf(1, 5s), Load));
 }
 
 Test(pool_admission, urgent_and_scheduled_and_lasting_jobs_are_admitted) {
   ServiceLoad Load = loadOf(1, 1h);
-  cr_assert_not(turnedAway(jobOf(0, 5s), Load));
+  cr_assert_not(admissionDelay(jobOf(0, 5s), Load));
   JobSpec Scheduled = jobOf(1, 5s);
   Scheduled.Occurrences = 3;
-  cr_assert_not(turnedAway(Scheduled, Load));
+  cr_assert_not(admissionDelay(Scheduled, Load));
   JobSpec Lasting = jobOf(1, 5s);
   Lasting.Steps.front().LongRunning = true;
-  cr_assert_not(turnedAway(Lasting, Load));
+  cr_assert_not(admissionDelay(Lasting, Load));
 }
 
 Test(pool_admission, callers_come_back_at_different_times) {
@@ -74,7 +74,7 @@
   std::set<Duration> Times;
   for (std::uint64_t Id = 0; Id < 16; ++Id) {
     Spec.Id = JobId(Id);
-    Times.insert(*turnedAway(Spec, loadOf(1, 150s)));
+    Times.insert(*admissionDelay(Spec, loadOf(1, 150s)));
   }
   cr_assert_eq(Times.size(), 16U);
 }
