Do not take a removed mark for a job, and leave completed waves alone

Found in reading the change again: - A submission that was to replace the mark of a refusal took a rejected write for an accepted job, also when the mark had been removed meanwhile: the caller was told that a job is stored which is not. The test got no job before the change. - A new owner began waves anew that an earlier one had completed. - A gang whose ticket ran out before its first order was stopped as if ordered. - The urgent reserve counted workers that are about to be taken down.

--- a/src/pool/HostControl.h
+++ b/src/pool/HostControl.h
@@ -23,6 +23,10 @@
   /// Everything that runs on the host ends at once.
   virtual void takeDown(const HostId &Host, WaveNumber Wave, Epoch Token,
                         std::function<void(MaintenanceResult)> Done) = 0;
+  /// Whether the operators were told before that a wave is completed; nothing
+  /// if that cannot be read now.
+  virtual void wasCompleted(WaveNumber Wave,
+                            std::function<void(std::optional<bool>)> Done) = 0;
   /// Tells the operators how far a wave is.
   virtual void report(WaveNumber Wave, bool Completed,
                       std::function<void(bool Told)> Done) = 0;
--- a/src/pool/JobIntake.cpp
+++ b/src/pool/JobIntake.cpp
@@ -107,10 +107,20 @@
     Report(Write->Value == RefusalMark ? Reason::DeadlineUnreachable
                                        : Reason::None);
     return;
-  case CallStatus::Rejected:
+  case CallStatus::Rejected: {
+    auto Found = std::find_if(Result.Current.begin(), Result.Current.end(),
+                              [&Write](const StoreEntry &Entry) {
+                                return Entry.Key == Write->Key &&
+                                       Entry.Version != StoreRevision();
+                              });
+    if (Found == Result.Current.end() && Write->Replaces != StoreRevision()) {
+      // The mark that was to be replaced has been removed meanwhile.
+      Write->Replaces = StoreRevision();
+      create(Write);
+      return;
+    }
     // The key exists: the job was accepted before, or turned away elsewhere.
-    if (!Result.Current.empty() &&
-        Result.Current.front().Value == RefusalMark) {
+    if (Found != Result.Current.end() && Found->Value == RefusalMark) {
       Write->RetryAfter = std::max(Write->RetryAfter, Limits.LeastRetryAfter);
       Report(Reason::DeadlineUnreachable);
       return;
@@ -118,6 +128,7 @@
     Write->RetryAfter = Duration::zero();
     Report(Reason::None);
     return;
+  }
   case CallStatus::NotApplied:
     if (Write->Uncertain)
       break;
--- a/src/pool/Maintenance.cpp
+++ b/src/pool/Maintenance.cpp
@@ -84,6 +84,10 @@
   MaintenanceStep All;
   TimePoint Now = Clock.now();
   for (auto &[Number, Wave] : Waves) {
+    if (!Wave.Checked || Wave.ToldCompleted) {
+      check(Wave);
+      continue;
+    }
     MaintenanceStep Step = Wave.Plan.step(
         [this](const WorkerId &Worker) { return Owner.holdsRuns(Worker); },
         Now);
@@ -137,6 +141,21 @@
                    });
 }
 
+void Maintenance::check(Running &Wave) {
+  if (Wave.Checked || std::exchange(Wave.CheckOut, true))
+    return;
+  std::uint64_t Mine = Term;
+  WaveNumber Number = Wave.Plan.wave().Wave;
+  Control.wasCompleted(Number, [this, Mine, Number](std::optional<bool> Was) {
+    auto Found = Waves.find(Number);
+    if (Mine != Term || Found == Waves.end())
+      return;
+    Found->second.CheckOut = false;
+    Found->second.Checked = Was.has_value();
+    Found->second.ToldCompleted = Was.value_or(false);
+  });
+}
+
 void Maintenance::report(Running &Wave) {
   bool Completed = Wave.Plan.completed();
   if (Wave.ReportOut || (Completed ? Wave.ToldCompleted : Wave.ToldRunning))
--- a/src/pool/Maintenance.h
+++ b/src/pool/Maintenance.h
@@ -34,6 +34,9 @@
 private:
   struct Running {
     MaintenancePlan Plan;
+    /// Whether an earlier owner completed the wave is known.
+    bool Checked = false;
+    bool CheckOut = false;
     /// What the operators were told last.
     bool ToldRunning = false;
     bool ToldCompleted = false;
@@ -42,8 +45,8 @@
 
   void tick();
   void list();
-  void carryOut(Running &Wave, TimePoint Now);
   void takeDown(WaveNumber Wave, const HostId &Host);
+  void check(Running &Wave);
   void report(Running &Wave);
   bool busy() const;
 
--- a/src/pool/PoolSchedulerPass.cpp
+++ b/src/pool/PoolSchedulerPass.cpp
@@ -523,7 +523,8 @@
   std::int32_t Total = 0;
   for (const auto &[Id, On] : Slots) {
     if (!On.Listed || !On.Heard || On.Silent || On.Suspect ||
-        On.Info.Draining || DomainsOut.contains(On.Info.Domain))
+        On.Info.Draining || DomainsOut.contains(On.Info.Domain) ||
+        LeavingWorkers.contains(Id))
       continue;
     Total += On.Info.Capacity.Accelerators;
     Workers.push_back({&On.Info,
@@ -600,10 +601,6 @@
         // Members on this worker may be gone; look at the rest next turn.
         break;
       }
-      if (Run.Phase == RunPhase::Planned) {
-        Run.Phase = RunPhase::Ordered;
-        Run.OrderedAt = Now;
-      }
       std::string Ticket;
       if (termsOf(Ref.Owner->Spec).Advice) {
         const std::string *Held =
@@ -614,6 +611,10 @@
         }
         Ticket = *Held;
       }
+      if (Run.Phase == RunPhase::Planned) {
+        Run.Phase = RunPhase::Ordered;
+        Run.OrderedAt = Now;
+      }
       Run.OrderOut = true;
       Orders.Starts.push_back({Id, Task, Current->first.second,
                                Ref.Owner->Spec.Program, Ref.Group->Checkpoint,
--- a/test/correctness/pool_admission.cpp
+++ b/test/correctness/pool_admission.cpp
@@ -172,3 +172,19 @@
   cr_assert_not(World.Pool.firstStart(Spec.Id));
   cr_assert(*First != Reason::None);
 }
+
+Test(pool_admission, mark_that_is_gone_does_not_pass_for_the_job) {
+  PoolWorld World(1, 2, 1);
+  World.run(2s);
+  JobSpec Spec = World.job(500, 1, 8, false, 1s);
+  std::string Key = "banyanworks/shared/job/00000000000001f4";
+  World.Shared.put(Key, "refused");
+  World.run(500ms);
+  cr_assert(World.daemon(1).Board->refusalMark(Spec.Id) != StoreRevision());
+  // Removed in the store, and not yet heard of by the daemon.
+  World.Shared.erase(Key);
+  auto Answer = World.submit(1, Spec);
+  World.run(3s);
+  cr_assert(*Answer == Reason::None);
+  cr_assert(World.shown(Spec.Id) == JobStatus::Completed);
+}
--- a/test/correctness/pool_maintenance.cpp
+++ b/test/correctness/pool_maintenance.cpp
@@ -150,3 +150,15 @@
   Pool.World.run(20s);
   cr_assert_eq(Pool.Hosts.through(), 4U);
 }
+
+Test(pool_maintenance, successor_leaves_a_completed_wave_alone) {
+  MaintainedPool Pool;
+  Pool.ask(4, 2, 30s);
+  Pool.World.run(20s);
+  cr_assert_str_eq(Pool.Hosts.told().c_str(), "completed");
+  std::size_t Before = Pool.Hosts.orders();
+  Pool.Upkeep.ownershipChanged(false);
+  Pool.Upkeep.ownershipChanged(true);
+  Pool.World.run(20s);
+  cr_assert_eq(Pool.Hosts.orders(), Before);
+}
--- a/test/support/FakeHosts.cpp
+++ b/test/support/FakeHosts.cpp
@@ -47,6 +47,7 @@
 
 void FakeHosts::takeDown(const HostId &Id, WaveNumber, Epoch,
                          std::function<void(MaintenanceResult)> Done) {
+  ++Orders;
   if (Silent || LosesAnswers) {
     if (LosesAnswers)
       World.Clock.after(LateBy, [this, Id] { carryOut(Id); });
@@ -82,6 +83,15 @@
   return MaintenanceResult::Done;
 }
 
+void FakeHosts::wasCompleted(WaveNumber,
+                             std::function<void(std::optional<bool>)> Done) {
+  if (Silent) {
+    World.Clock.after(AnswerTimeout, [Done] { Done(std::nullopt); });
+    return;
+  }
+  World.Clock.after(Latency, [this, Done] { Done(Told == "completed"); });
+}
+
 void FakeHosts::report(WaveNumber, bool Completed,
                        std::function<void(bool)> Done) {
   World.Clock.after(Latency, [this, Completed, Done = std::move(Done)] {
--- a/test/support/FakeHosts.h
+++ b/test/support/FakeHosts.h
@@ -29,11 +29,14 @@
                 Done) override;
   void takeDown(const pool::HostId &Host, pool::WaveNumber Wave, Epoch Token,
                 std::function<void(pool::MaintenanceResult)> Done) override;
+  void wasCompleted(pool::WaveNumber Wave,
+                    std::function<void(std::optional<bool>)> Done) override;
   void report(pool::WaveNumber Wave, bool Completed,
               std::function<void(bool)> Done) override;
 
   std::vector<pool::HostId> hosts() const;
   std::size_t through() const { return Through; }
+  std::size_t orders() const { return Orders; }
   std::size_t mostDown() const { return MostDown; }
   std::size_t tasksKilled() const { return TasksKilled; }
   /// "running" or "completed"; empty before the first report.
@@ -53,6 +56,7 @@
   std::size_t Down = 0;
   std::size_t MostDown = 0;
   std::size_t Through = 0;
+  std::size_t Orders = 0;
   std::size_t TasksKilled = 0;
   std::string Told;
 };
