--- a/src/pool/JobIntake.cpp
+++ b/src/pool/JobIntake.cpp
@@ -203,9 +203,17 @@
   }
   Store.read(std::string(StatusPrefix) + jobName(Asked->Job),
              [this, Asked](const ListResult &Result) {
-               if (Result.Status == CallStatus::Done && !Result.Entries.empty())
-                 if (auto Read = parseJobStatus(Result.Entries.front().Value))
-                   Asked->Known = std::max(Asked->Known, *Read);
+               auto Read = std::make_optional(JobStatus::Queued);
+               if (!Result.Entries.empty())
+                 Read = parseJobStatus(Result.Entries.front().Value);
+               if (Result.Status != CallStatus::Done || !Read) {
+                 // What this daemon saw last is answered.
+                 Log.write(LogLevel::Notice, "job.status.unread",
+                           {{"job", jobName(Asked->Job)},
+                            {"reason", Read ? "store" : "unknown status"}});
+               } else {
+                 Asked->Known = std::max(Asked->Known, *Read);
+               }
                answerStatus(*Asked);
              });
 }
--- a/src/pool/JobProgress.h
+++ b/src/pool/JobProgress.h
@@ -37,6 +37,10 @@
   /// Runs of the group, of any number, that may still be on a worker. Not part
   /// of the durable form.
   std::uint32_t Live = 0;
+
+  TaskKey task(JobId Job, std::uint32_t Member) const {
+    return {Job, Occurrence, Step, FirstIndex + Member};
+  }
 };
 
 /// The groups of a job, by occurrence, step and index.
--- a/src/pool/Maintenance.cpp
+++ b/src/pool/Maintenance.cpp
@@ -151,6 +151,9 @@
     if (Mine != Term || Found == Waves.end())
       return;
     Found->second.CheckOut = false;
+    if (!Was)
+      Log.write(LogLevel::Notice, "wave.status.unavailable",
+                {{"wave", Number.value()}});
     Found->second.Checked = Was.has_value();
     Found->second.ToldCompleted = Was.value_or(false);
   });
@@ -168,13 +171,14 @@
     if (Mine != Term || Found == Waves.end())
       return;
     Found->second.ReportOut = false;
+    // A report that did not get through is repeated with the next tick.
+    Log.write(LogLevel::Change, Told ? "wave.reported" : "wave.report.failed",
+              {{"wave", Number.value()},
+               {"state", Completed ? "completed" : "running"}});
     if (!Told)
       return;
     Found->second.ToldRunning = true;
     Found->second.ToldCompleted = Completed;
-    Log.write(LogLevel::Change, "wave.reported",
-              {{"wave", Number.value()},
-               {"state", Completed ? "completed" : "running"}});
   });
 }
 
--- a/src/pool/PoolOwner.cpp
+++ b/src/pool/PoolOwner.cpp
@@ -228,8 +228,8 @@
     if (Mine != Term)
       return;
     TimePoint SentAt = Clock.now();
-    if (SentAt - RenewedAt > Limits.RenewWithoutStore) {
-      stepDown("store unreachable");
+    if (!mayActAt(SentAt)) {
+      stepDown(NotRenewed);
       return;
     }
     Store.renewLease(Ownership.id(), [this, Mine, SentAt](LeaseResult Result) {
--- a/src/pool/PoolOwner.h
+++ b/src/pool/PoolOwner.h
@@ -16,6 +16,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
@@ -111,6 +112,9 @@
   const PoolScheduler *scheduler() const { return Scheduler.get(); }
 
 private:
+  /// Why an owner steps down that was cut off from the store, or paused.
+  static constexpr std::string_view NotRenewed = "not renewed for too long";
+
   enum class Role : std::uint8_t { Follower, Acquiring, Recovering, Owner };
 
   void ownerSeen();
@@ -121,6 +125,11 @@
   void recover();
   void resume(const std::vector<StoreEntry> &Records);
   void stepDown(std::string_view Why);
+  /// Whether the last renewal of the ownership is recent enough to give orders
+  /// and to extend leases; a successor relies on the bound.
+  bool mayActAt(TimePoint Now) const {
+    return Now - RenewedAt < Limits.RenewWithoutStore;
+  }
   void renewOwnership();
 
   void jobSeen(JobId Id);
--- a/src/pool/PoolOwnerTurn.cpp
+++ b/src/pool/PoolOwnerTurn.cpp
@@ -50,8 +50,8 @@
   TimePoint Now = Clock.now();
   // A process that was paused may wake with orders that are due, and a
   // successor starts the same tasks elsewhere once this time is over.
-  if (Now - RenewedAt > Limits.RenewWithoutStore) {
-    stepDown("paused for too long");
+  if (!mayActAt(Now)) {
+    stepDown(NotRenewed);
     return;
   }
   Scheduler->visitWorkers([this, Now](const RenewalState &State) {
@@ -251,8 +251,7 @@
   // sent only when there is something to acknowledge.
   if (!State.Silent && Its.AcknowledgedTo < State.Acknowledged)
     Order.Acknowledged = State.Acknowledged;
-  Order.Extend =
-      !State.Silent && Clock.now() - RenewedAt < Limits.RenewWithoutStore;
+  Order.Extend = !State.Silent && mayActAt(Clock.now());
   if (State.Silent)
     Order.Timeout = Limits.SilentTimeout;
   // A worker with ends that cannot be acknowledged yet would answer at once.
--- a/src/pool/PoolScheduler.cpp
+++ b/src/pool/PoolScheduler.cpp
@@ -55,7 +55,7 @@
     Slots.erase(Found);
 }
 
-QueueTerms PoolScheduler::termsOf(const JobSpec &Spec) const {
+const QueueTerms &PoolScheduler::termsOf(const JobSpec &Spec) const {
   const QueueSpec *Queue = Configuration.queue(Spec.Queue);
   return Queue ? Queue->Terms : Spec.Terms;
 }
@@ -95,14 +95,14 @@
     if (Group.State != GroupState::Active)
       continue;
     for (std::uint32_t Member = 0; Member < Group.Members; ++Member) {
-      TaskKey Task{Spec.Id, Group.Occurrence, Group.Step,
-                   Group.FirstIndex + Member};
+      TaskKey Task = Group.task(Spec.Id, Member);
       Slot &On = Slots[Group.Workers[Member]];
       On.Info.Id = Group.Workers[Member];
       PlacedRun Run;
       Run.Room = Spec.Steps[Group.Step].held();
       Run.Phase = RunPhase::Inherited;
-      Run.PacePercent.reset();
+      if (Spec.Steps[Group.Step].FillsIdle)
+        Run.PacePercent.reset();
       Run.OrderedAt = Now;
       On.Used += Run.Room;
       On.Runs.emplace(RunKey(Task, Group.Run), Run);
@@ -156,6 +156,18 @@
   return {&Found->second, Found->second.Progress.find(Task)};
 }
 
+const PlacedRun *PoolScheduler::runOf(const Job &Owner, const TaskGroup &Group,
+                                      std::uint32_t Member) const {
+  if (Member >= Group.Workers.size())
+    return nullptr;
+  auto On = Slots.find(Group.Workers[Member]);
+  if (On == Slots.end())
+    return nullptr;
+  auto Run =
+      On->second.Runs.find({Group.task(Owner.Spec.Id, Member), Group.Run});
+  return Run == On->second.Runs.end() ? nullptr : &Run->second;
+}
+
 void PoolScheduler::abortAll(Job &Owner, std::string_view Why) {
   if (Owner.Live == 0)
     return;
@@ -172,8 +184,7 @@
     if (Where == Slots.end())
       continue;
     Slot &On = Where->second;
-    TaskKey Task{Owner.Spec.Id, Group.Occurrence, Group.Step,
-                 Group.FirstIndex + Member};
+    TaskKey Task = Group.task(Owner.Spec.Id, Member);
     auto Run = On.Runs.find({Task, Group.Run});
     if (Run == On.Runs.end() || Run->second.StopWanted)
       continue;
--- a/src/pool/PoolScheduler.h
+++ b/src/pool/PoolScheduler.h
@@ -256,21 +256,28 @@
     if (Observer)
       Observer(Span, Took);
   }
-  QueueTerms termsOf(const JobSpec &Spec) const;
+  const QueueTerms &termsOf(const JobSpec &Spec) const;
   void addJob(const JobSpec &Spec, JobStatus Shown, JobProgress Progress);
   void place(Candidate &Next, const std::vector<TaskGroup *> &Groups,
              const std::vector<WorkerId> &Chosen, TimePoint Now);
   void abort(Job &Owner, TaskGroup &Group, std::string_view Why);
   void abortAll(Job &Owner, std::string_view Why);
+  /// Stops the groups of some tasks.
+  void abortTasks(const std::vector<TaskKey> &Tasks, std::string_view Why);
   /// Removes a run that is surely over and frees its room.
   void settle(Slot &On, RunTable::iterator Run);
   void takeEnd(Slot &On, const ReportedEnd &End, TimePoint Now);
   void taskFailed(Slot &On, Job &Owner, TaskGroup &Group, TimePoint Now);
+  /// The newest run of a member; null if no worker holds it any more.
+  const PlacedRun *runOf(const Job &Owner, const TaskGroup &Group,
+                         std::uint32_t Member) const;
   /// The run that an order was about, once it is answered; null if it is over.
   PlacedRun *answeredRun(const WorkerId &Worker, const TaskKey &Task,
                          RunNumber Number, OrderResult Result);
-  void adopt(Slot &On, const ReportedRun &Seen, TimePoint SentAt,
-             TimePoint Now);
+  /// Takes in what a worker tells of a run. Returns the tail of its response
+  /// times as a share of its target; nothing if it serves nobody.
+  std::optional<double> adopt(Slot &On, const ReportedRun &Seen,
+                              TimePoint SentAt, TimePoint Now);
   /// Settles runs that the worker held before it was asked and does not list.
   void dropUnreported(Slot &On, const WorkerReport &Report, TimePoint SentAt);
   /// Settles runs that are over without a reported end.
@@ -279,6 +286,8 @@
   static bool needsRecord(const Job &Of);
   void conclude(Job &Changed, JobStatus Status);
 
+  /// Whether the worker can take new tasks at all.
+  bool takesWork(const Slot &On) const;
   /// Whether the worker can take new tasks of the step, were it advised.
   bool usable(const Slot &On, const Candidate &For, TimePoint Now) const;
   bool eligible(const Slot &On, const Candidate &For, TimePoint Now) const;
@@ -301,8 +310,7 @@
   Victims victimsOn(const Slot &On, const Candidate &For, std::uint32_t Tasks,
                     TimePoint Now);
   bool reclaim(Candidate &Urgent, bool OneRack, TimePoint Now);
-  /// Whether a run may be stopped for the urgent job, and whether it is urgent
-  /// itself.
+  /// Whether a run may be stopped for the urgent job.
   bool givesWay(const Job &Owner, const PlacedRun &Run,
                 const Candidate &For) const;
   /// Counts what urgent work needs and holds.
@@ -316,8 +324,8 @@
   /// Compares a task's progress with its own before.
   static void samplePace(Slot &On, PlacedRun &Run, std::uint32_t Percent,
                          TimePoint Now);
-  /// Judges from a report how fast fillers may work on the worker.
-  void observeServing(Slot &On, const WorkerReport &Report, TimePoint Now);
+  /// Judges by the worst tail beside them how fast fillers may work.
+  void paceFillers(Slot &On, std::optional<double> Worst, TimePoint Now);
   /// Whether a task that fills would find idle processor time, and no task that
   /// it could slow down.
   bool idleFor(const Slot &On, const StepSpec &Filler) const;
--- a/src/pool/PoolSchedulerPass.cpp
+++ b/src/pool/PoolSchedulerPass.cpp
@@ -47,13 +47,16 @@
 
 } // namespace
 
+bool PoolScheduler::takesWork(const Slot &On) const {
+  return On.Listed && On.Heard && !On.Silent && !On.Suspect &&
+         !On.Info.Draining && !DomainsOut.contains(On.Info.Domain) &&
+         !LeavingWorkers.contains(On.Info.Id);
+}
+
 bool PoolScheduler::usable(const Slot &On, const Candidate &For,
                            TimePoint Now) const {
-  if (!On.Listed || !On.Heard || On.Silent || On.Suspect || On.Info.Draining ||
-      Now < On.RefusedUntil || DomainsOut.contains(On.Info.Domain) ||
-      LeavingWorkers.contains(On.Info.Id))
-    return false;
-  return offers(On.Info, For.Terms.Service, *For.Step);
+  return takesWork(On) && Now >= On.RefusedUntil &&
+         offers(On.Info, For.Terms.Service, *For.Step);
 }
 
 bool PoolScheduler::eligible(const Slot &On, const Candidate &For,
@@ -113,7 +116,7 @@
     if (isFinal(Waiting.Status) || Waiting.Waiting == 0)
       continue;
     const JobSpec &Spec = Waiting.Spec;
-    QueueTerms Terms = termsOf(Spec);
+    const QueueTerms &Terms = termsOf(Spec);
     if (Waiting.Chain == Duration::zero())
       Waiting.Chain = longestChain(Spec);
     Duration Objective = objectiveOf(Waiting.Chain, Terms);
@@ -217,8 +220,7 @@
                           Chosen.begin() +
                               static_cast<std::ptrdiff_t>(At + Group->Members));
     for (std::uint32_t Member = 0; Member < Group->Members; ++Member, ++At) {
-      TaskKey Task{Next.Owner->Spec.Id, Group->Occurrence, Group->Step,
-                   Group->FirstIndex + Member};
+      TaskKey Task = Group->task(Next.Owner->Spec.Id, Member);
       Slot &On = Slots.at(Chosen[At]);
       PlacedRun Run;
       Run.Room = Next.Step->held();
@@ -358,18 +360,13 @@
   const StepSpec &Step = Owner.Spec.Steps[Group.Step];
   double Loss = 0.0;
   for (std::uint32_t Member = 0; Member < Group.Members; ++Member) {
-    auto Where = Slots.find(Group.Workers[Member]);
-    if (Where == Slots.end())
-      continue;
-    TaskKey Task{Owner.Spec.Id, Group.Occurrence, Group.Step,
-                 Group.FirstIndex + Member};
-    auto Run = Where->second.Runs.find({Task, Group.Run});
-    if (Run == Where->second.Runs.end())
+    const PlacedRun *Run = runOf(Owner, Group, Member);
+    if (!Run)
       continue;
     // A checkpointing task loses only what it did since the last checkpoint,
     // and the time of its restart.
     Duration Spent = Step.Checkpoints ? std::chrono::milliseconds(500)
-                                      : Now - Run->second.OrderedAt;
+                                      : Now - Run->OrderedAt;
     Loss += coreSeconds(Step.PerTask, Spent);
   }
   return Loss;
@@ -382,7 +379,14 @@
   struct Choice {
     GroupRef Ref;
     Resources Room;
-    double Cost = 0.0;
+    /// What is lost, in core seconds, and what it costs to stop the run at all.
+    double Loss = 0.0;
+    double Extra = 0.0;
+
+    double costForRoom() const {
+      double Freed = coreSeconds(Room, std::chrono::seconds(1));
+      return Loss / std::max(0.001, Freed) + Extra;
+    }
   };
   Resources Free = On.Info.Capacity - On.Used;
   Resources Wanted = For.Step->held() * static_cast<std::int32_t>(Tasks);
@@ -396,16 +400,13 @@
     if (!Ref.Group || Ref.Owner->Spec.Steps[Key.first.Step].MayMiss != 0 ||
         !givesWay(*Ref.Owner, Run, For))
       continue;
-    double Cost =
-        lossOf(*Ref.Group, *Ref.Owner, Now) /
-        std::max(0.001, coreSeconds(Run.Room, std::chrono::seconds(1)));
-    if (termsOf(Ref.Owner->Spec).Priority == 0)
-      Cost += UrgentLoss;
-    Choices.push_back({Ref, Run.Room, Cost});
+    bool Urgent = termsOf(Ref.Owner->Spec).Priority == 0;
+    Choices.push_back({Ref, Run.Room, lossOf(*Ref.Group, *Ref.Owner, Now),
+                       Urgent ? UrgentLoss : 0.0});
   }
   std::stable_sort(Choices.begin(), Choices.end(),
                    [](const Choice &Left, const Choice &Right) {
-                     return Left.Cost < Right.Cost;
+                     return Left.costForRoom() < Right.costForRoom();
                    });
   Victims Result;
   for (const Choice &Next : Choices) {
@@ -413,9 +414,7 @@
       break;
     Free += Next.Room;
     Result.Groups.push_back(Next.Ref);
-    Result.Cost += lossOf(*Next.Ref.Group, *Next.Ref.Owner, Now);
-    if (termsOf(Next.Ref.Owner->Spec).Priority == 0)
-      Result.Cost += UrgentLoss;
+    Result.Cost += Next.Loss + Next.Extra;
   }
   if (!Wanted.fitsIn(Free))
     Result.Cost = -1.0;
@@ -522,9 +521,7 @@
   std::vector<FreeWorker> Workers;
   std::int32_t Total = 0;
   for (const auto &[Id, On] : Slots) {
-    if (!On.Listed || !On.Heard || On.Silent || On.Suspect ||
-        On.Info.Draining || DomainsOut.contains(On.Info.Domain) ||
-        LeavingWorkers.contains(Id))
+    if (!takesWork(On))
       continue;
     Total += On.Info.Capacity.Accelerators;
     Workers.push_back({&On.Info,
@@ -702,6 +699,15 @@
     On->Suspect = true;
 }
 
+void PoolScheduler::abortTasks(const std::vector<TaskKey> &Tasks,
+                               std::string_view Why) {
+  for (const TaskKey &Task : Tasks) {
+    GroupRef Ref = find(Task);
+    if (Ref.Group)
+      abort(*Ref.Owner, *Ref.Group, Why);
+  }
+}
+
 void PoolScheduler::moveFromSlow(TimePoint Now) {
   for (auto &[Id, On] : Slots) {
     if (!On.Suspect || !On.Pace.slow(Now))
@@ -720,11 +726,7 @@
               Done, Kept, scaled(std::chrono::seconds(100), 1 / Run.BestPace)))
         Moved.push_back(Key.first);
     }
-    for (const TaskKey &Task : Moved) {
-      GroupRef Ref = find(Task);
-      if (Ref.Group)
-        abort(*Ref.Owner, *Ref.Group, "worker_slow");
-    }
+    abortTasks(Moved, "worker_slow");
   }
 }
 
@@ -739,11 +741,7 @@
           remaining(Key, Run, Now) > Left)
         Leaving.push_back(Key.first);
     }
-    for (const TaskKey &Task : Leaving) {
-      GroupRef Ref = find(Task);
-      if (Ref.Group)
-        abort(*Ref.Owner, *Ref.Group, "worker_leaves");
-    }
+    abortTasks(Leaving, "worker_leaves");
   }
 }
 
@@ -755,17 +753,9 @@
   for (const TaskGroup &Other : Owner.Progress.groups()) {
     if (Other.Step != Group.Step || Other.Occurrence != Group.Occurrence)
       continue;
-    bool AtWork = false;
-    if (Other.State == GroupState::Active && !Other.Workers.empty()) {
-      TaskKey Task{Owner.Spec.Id, Other.Occurrence, Other.Step,
-                   Other.FirstIndex};
-      auto On = Slots.find(Other.Workers.front());
-      if (On != Slots.end()) {
-        auto Run = On->second.Runs.find({Task, Other.Run});
-        AtWork = Run != On->second.Runs.end() && !Run->second.StopWanted &&
-                 Run->second.Percent == 100;
-      }
-    }
+    const PlacedRun *Run =
+        Other.State == GroupState::Active ? runOf(Owner, Other, 0) : nullptr;
+    bool AtWork = Run && !Run->StopWanted && Run->Percent == 100;
     Away += AtWork ? 0 : 1;
   }
   return Away < Step.MayMiss;
@@ -837,7 +827,7 @@
   for (auto &[Id, Each] : Jobs) {
     if (isFinal(Each.Status) || Each.Spec.scheduled())
       continue;
-    QueueTerms Terms = termsOf(Each.Spec);
+    const QueueTerms &Terms = termsOf(Each.Spec);
     auto Whole = Usable.find(Terms.Service);
     if (Whole == Usable.end())
       continue;
@@ -846,16 +836,10 @@
       const StepSpec &Step = Each.Spec.Steps[Group.Step];
       if (Group.State == GroupState::Done || Step.LongRunning || Step.FillsIdle)
         continue;
-      Duration Left = Step.Estimate;
-      if (Group.State == GroupState::Active && !Group.Workers.empty()) {
-        TaskKey First{Id, Group.Occurrence, Group.Step, Group.FirstIndex};
-        auto On = Slots.find(Group.Workers.front());
-        if (On != Slots.end()) {
-          auto Run = On->second.Runs.find({First, Group.Run});
-          if (Run != On->second.Runs.end())
-            Left = remaining(Run->first, Run->second, Now);
-        }
-      }
+      const PlacedRun *Run =
+          Group.State == GroupState::Active ? runOf(Each, Group, 0) : nullptr;
+      Duration Left = Run ? remaining({Group.task(Id, 0), Group.Run}, *Run, Now)
+                          : Step.Estimate;
       Work += scaled(Left,
                      dominantShare(Step.held(), Whole->second) * Group.Members);
     }
--- a/src/pool/PoolSchedulerReports.cpp
+++ b/src/pool/PoolSchedulerReports.cpp
@@ -98,22 +98,15 @@
   On.Life = Report.Life;
   for (const ReportedEnd &End : Report.Ended)
     takeEnd(On, End, Now);
+  std::optional<double> WorstTail;
   for (const ReportedRun &Seen : Report.Running)
-    adopt(On, Seen, SentAt, Now);
+    WorstTail = std::max(WorstTail, adopt(On, Seen, SentAt, Now));
   dropUnreported(On, Report, SentAt);
-  observeServing(On, Report, Now);
+  paceFillers(On, WorstTail, Now);
 }
 
-void PoolScheduler::observeServing(Slot &On, const WorkerReport &Report,
-                                   TimePoint Now) {
-  std::optional<double> Worst;
-  for (const ReportedRun &Seen : Report.Running) {
-    GroupRef Ref = find(Seen.Task);
-    if (!Ref.Group || !Ref.Owner->Spec.Steps[Seen.Task.Step].serves())
-      continue;
-    double Target = toSeconds(Ref.Owner->Spec.Steps[Seen.Task.Step].TailTarget);
-    Worst = std::max(Worst.value_or(0.0), Seen.TailMs / 1000.0 / Target);
-  }
+void PoolScheduler::paceFillers(Slot &On, std::optional<double> Worst,
+                                TimePoint Now) {
   std::uint32_t Before = On.Filling.percent();
   if (Worst)
     On.Filling.observe(*Worst, Now);
@@ -189,15 +182,14 @@
   ++Group.Failures;
   if (Owner.Spec.Steps[Group.Step].LongRunning)
     return;
-  QueueTerms Terms = termsOf(Owner.Spec);
-  if (Group.Failures < Terms.MaxAttempts)
+  if (Group.Failures < termsOf(Owner.Spec).MaxAttempts)
     return;
   Owner.Progress.markFailed();
   conclude(Owner, JobStatus::Failed);
 }
 
-void PoolScheduler::adopt(Slot &On, const ReportedRun &Seen, TimePoint SentAt,
-                          TimePoint Now) {
+std::optional<double> PoolScheduler::adopt(Slot &On, const ReportedRun &Seen,
+                                           TimePoint SentAt, TimePoint Now) {
   RunKey Key(Seen.Task, Seen.Run);
   GroupRef Ref = find(Seen.Task);
   auto Found = On.Runs.find(Key);
@@ -223,13 +215,17 @@
     Run.Phase = RunPhase::Confirmed;
     Run.ConfirmedAt = SentAt;
   }
+  const StepSpec *Step =
+      Ref.Group ? &Ref.Owner->Spec.Steps[Seen.Task.Step] : nullptr;
   // A filler's progress follows what others leave idle, and its pace.
-  bool Fills = Ref.Group && Ref.Owner->Spec.Steps[Seen.Task.Step].FillsIdle;
-  if (!Fills)
+  if (!Step || !Step->FillsIdle)
     samplePace(On, Run, Seen.Percent, Now);
   Run.Percent = Seen.Percent;
   if (Ref.Group && Ref.Group->Run == Seen.Run && !Seen.Checkpoint.empty())
     Ref.Group->Checkpoint = Seen.Checkpoint;
+  if (!Step || !Step->serves())
+    return std::nullopt;
+  return Seen.TailMs / 1000.0 / toSeconds(Step->TailTarget);
 }
 
 void PoolScheduler::samplePace(Slot &On, PlacedRun &Run, std::uint32_t Percent,
@@ -383,6 +379,14 @@
   PlacedRun &Run = *Found;
   Run.PaceOut = false;
   Run.NextPace = Now + Limits.OrderRetry;
+  if (Result != OrderResult::Done) {
+    Log.write(LogLevel::Notice, "run.pace",
+              {{"task", taskName(Order.Task)},
+               {"run", Order.Run.value()},
+               {"worker", Order.Worker.str()},
+               {"percent", Order.Percent},
+               {"result", resultName(Result)}});
+  }
   // An order without an answer may be carried out later, over a newer one.
   Run.PacePercent.reset();
   if (Result == OrderResult::Done)
--- a/src/pool/RunTable.h
+++ b/src/pool/RunTable.h
@@ -48,7 +48,7 @@
   std::uint32_t SampledPercent = 0;
   TimePoint SampledAt;
   /// The pace that the worker has confirmed, and whether an order to change it
-  /// is under way; nothing is known of a run that an earlier owner started.
+  /// is under way; nothing is known of a filler that an earlier owner started.
   std::optional<std::uint32_t> PacePercent = 100;
   bool PaceOut = false;
   TimePoint NextPace;
