--- a/src/edge/AsyncHttpServer.cpp
+++ b/src/edge/AsyncHttpServer.cpp
@@ -203,8 +203,7 @@
       &Impl::onAccess, Self.get(), MHD_OPTION_SOCK_ADDR, &Listen,
       MHD_OPTION_NOTIFY_COMPLETED, &Impl::onEnd, Self.get(),
       MHD_OPTION_CONNECTION_LIMIT, MaxConnections,
-      MHD_OPTION_CONNECTION_TIMEOUT, IdleTimeoutS,
-      MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U, MHD_OPTION_END);
+      MHD_OPTION_CONNECTION_TIMEOUT, IdleTimeoutS, MHD_OPTION_END);
   if (!Self->Daemon)
     return fail(Reason::InvalidArgument, "cannot listen on " + Address);
   int Descriptor =
