--- a/src/pool/JobIntake.cpp
+++ b/src/pool/JobIntake.cpp
@@ -177,7 +177,12 @@
 void JobIntake::status(JobId Id, StatusAnswer Done) {
   const JobBoard::Entry *Known = Board.job(Id);
   if (Known && Known->Spec) {
-    if (isFinal(Known->shown()) || StatusReads >= Limits.MostStatusReads) {
+    // A job that has not started has not ended either; the little that the
+    // watch lags behind is made up by the caller's next question.
+    bool Waits = Known->shown() == JobStatus::Queued &&
+                 Clock.now() - Board.watch().confirmedAt() < Limits.WatchTrust;
+    if (isFinal(Known->shown()) || Waits ||
+        StatusReads >= Limits.MostStatusReads) {
       Done(Reason::None, Known->shown());
       return;
     }
--- a/src/pool/JobIntake.h
+++ b/src/pool/JobIntake.h
@@ -46,6 +46,9 @@
   /// With so many reads under way the store is behind, and what is known is
   /// answered at once.
   std::uint32_t MostStatusReads = 32;
+  /// How recently the watch must have been confirmed for a waiting job to be
+  /// shown from it; an idle watch is confirmed each second.
+  Duration WatchTrust = std::chrono::milliseconds(1500);
 };
 
 /// Reason::None stands for success. The answer to a job whose write may still
--- a/src/pool/PoolScheduler.h
+++ b/src/pool/PoolScheduler.h
@@ -222,6 +222,8 @@
     std::uint64_t Acknowledged = 0;
     TimePoint RefusedUntil;
     std::map<JobId, TimePoint> Failures;
+    /// The last task to end by itself has failed.
+    bool Unproven = false;
     WorkerPace Pace;
     FillPace Filling;
     /// Slow, or failing the tasks of several jobs, in this turn.
@@ -251,6 +253,8 @@
     /// How long the job has waited since it was due.
     Duration Waited{};
 
+    /// Kept off risky workers.
+    bool careful() const { return Terms->Priority == 0 && Lateness == 0; }
     StepKey key() const {
       return {Owner->Spec.Id, First->Occurrence, First->Step};
     }
@@ -264,6 +268,8 @@
     Duration Estimate{};
     /// It could not even have what its guarantee allows it to reclaim.
     bool Guaranteed = false;
+    /// Risky workers were left out.
+    bool Careful = false;
   };
   struct GroupRef {
     Job *Owner = nullptr;
@@ -362,6 +368,9 @@
                           const Candidate &Next);
   static NoRoom noRoomFor(const PlacementRequest &Request,
                           const Candidate &Next);
+  /// Whether urgent work is kept off the worker: some fail all that they start,
+  /// and have room for that reason, while an urgent job has few attempts.
+  bool isRisky(const Slot &On, const Candidate &For) const;
   bool isReserved(const Slot &On, const Candidate &For, TimePoint Now) const;
   PlacementRequest requestFor(const Candidate &Next) const;
   /// Keeps room for a gang that does not fit yet.
--- a/src/pool/PoolSchedulerPass.cpp
+++ b/src/pool/PoolSchedulerPass.cpp
@@ -211,8 +211,8 @@
     if (!Request.PerTask.fitsIn(Open.Free))
       continue;
     const Slot &On = *Open.On;
-    if (isReserved(On, For, Now) || (!Urgent && On.Kept && !Large) ||
-        !eligible(On, For, Now))
+    if (isReserved(On, For, Now) || isRisky(On, For) ||
+        (!Urgent && On.Kept && !Large) || !eligible(On, For, Now))
       continue;
     WorkerRoom Room;
     Room.Worker = &On.Info;
@@ -353,6 +353,7 @@
                 (Request.SameRack && !Request.MaySpan)) &&
                Before.Service == Next.Terms->Service &&
                (Before.Guaranteed || !Next.Guaranteed) &&
+               (!Before.Careful || Next.careful()) &&
                (Before.Label.empty() ||
                 Before.Label == Next.Step->RequiredLabel) &&
                Before.Estimate <= Next.Step->Estimate;
@@ -362,7 +363,11 @@
 PoolScheduler::NoRoom PoolScheduler::noRoomFor(const PlacementRequest &Request,
                                                const Candidate &Next) {
   return {Request, Next.Terms->Service, Next.Step->RequiredLabel,
-          Next.Step->Estimate, Next.Guaranteed};
+          Next.Step->Estimate, Next.Guaranteed, Next.careful()};
+}
+
+bool PoolScheduler::isRisky(const Slot &On, const Candidate &For) const {
+  return On.Unproven && !On.Failures.empty() && For.careful();
 }
 
 bool PoolScheduler::isReserved(const Slot &On, const Candidate &For,
@@ -513,7 +518,7 @@
   for (const auto &[Id, On] : Slots) {
     if (!eligible(On, Urgent, Now))
       continue;
-    if (isReserved(On, Urgent, Now))
+    if (isReserved(On, Urgent, Now) || isRisky(On, Urgent))
       continue;
     std::vector<Unit> &Units = Racks[OneRack ? On.Info.Rack : RackId()];
     Offer Given = offerOf(On, Urgent, Now);
--- a/src/pool/PoolSchedulerReports.cpp
+++ b/src/pool/PoolSchedulerReports.cpp
@@ -161,6 +161,7 @@
       Ref.Group->State = GroupState::Done;
       changed(*Ref.Owner);
       On.Failures.erase(End.Task.Job);
+      On.Unproven = false;
       if (Ref.Owner->Progress.allDone())
         conclude(*Ref.Owner, JobStatus::Completed);
     } else {
@@ -179,6 +180,7 @@
 void PoolScheduler::taskFailed(Slot &On, Job &Owner, TaskGroup &Group,
                                TimePoint Now) {
   On.Failures[Owner.Spec.Id] = Now;
+  On.Unproven = true;
   JudgeSoon = true;
   if (Group.LastFailed == Group.Run)
     return;
--- /dev/null
+++ b/test/correctness/pool_risky_workers.cpp
@@ -0,0 +1,113 @@
+/// \file
+/// Some workers fail all that they start, and have room for that reason: urgent
+/// jobs, which have few attempts, are kept off them.
+#include "pool/PoolScheduler.h"
+#include "support/RecordingLog.h"
+
+#include <criterion/criterion.h>
+
+using namespace banyanworks;
+using namespace banyanworks::pool;
+using namespace banyanworks::testing;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr TimePoint Now{100s};
+constexpr WallTime Wall{100s};
+const WorkerId Failing("w1");
+const WorkerId Sound("w2");
+
+/// Two workers of which the first has failed a task of job 1.
+struct Rig {
+  VirtualClock Clock;
+  RecordingLog Log{Clock};
+  PoolScheduler Scheduler{PoolLimits(), Log};
+  PoolConfiguration Configuration;
+
+  Rig() {
+    QueueSpec Urgent;
+    Urgent.Id = QueueId("urgent");
+    Urgent.Terms.Service = ServiceId("service");
+    Urgent.Terms.Stretch = 1.5;
+    Urgent.Terms.MaxAttempts = 2;
+    QueueSpec Batch = Urgent;
+    Batch.Id = QueueId("batch");
+    Batch.Terms.Priority = 2;
+    Configuration.Queues = {Urgent, Batch};
+    Scheduler.configure(Configuration);
+    join(Failing);
+    submit(1, "batch", 1);
+    StartOrder Failed = starts().front();
+    report(Failing, {{1, Failed.Task, Failed.Run, RunEnd::Failed, ""}});
+    join(Sound);
+    // The failed task starts again on the sound worker.
+    starts();
+  }
+
+  void join(const WorkerId &Id) {
+    PoolWorker Worker;
+    Worker.Id = Id;
+    Worker.Address = "10.0.0.1:1";
+    Worker.Service = ServiceId("service");
+    Worker.Capacity = {32000, 131072, 8};
+    Scheduler.updateWorker(Worker, Now);
+    report(Id, {});
+  }
+
+  void report(const WorkerId &Id, std::vector<ReportedEnd> Ends) {
+    WorkerReport Report;
+    Report.Result = OrderResult::Done;
+    Report.Ended = std::move(Ends);
+    Scheduler.workerReported(Id, Report, Now, Now);
+  }
+
+  void submit(std::uint64_t Id, const char *Queue, std::int32_t Accelerators) {
+    JobSpec Spec;
+    Spec.Id = JobId(Id);
+    Spec.Queue = QueueId(Queue);
+    Spec.Terms = Configuration.queue(Spec.Queue)->Terms;
+    Spec.AcceptedAt = Wall;
+    StepSpec Step;
+    Step.PerTask = {1000, 1024, Accelerators};
+    Step.Estimate = 2500ms;
+    Spec.Steps = {Step};
+    Scheduler.submit(Spec, JobStatus::Queued);
+  }
+
+  /// Places what can be placed and returns the orders to start it.
+  std::vector<StartOrder> starts() {
+    constexpr std::size_t Entries = 100;
+    Scheduler.pass(Now, Wall);
+    Scheduler.committed(Scheduler.changes(Entries), Now);
+    return Scheduler.pass(Now, Wall).Starts;
+  }
+};
+
+} // namespace
+
+Test(pool_risky_workers, urgent_work_waits_rather_than_start_on_one) {
+  Rig World;
+  // It needs a whole worker, and only the one that failed has that much room.
+  World.submit(2, "urgent", 8);
+  cr_assert(World.starts().empty());
+}
+
+Test(pool_risky_workers, other_work_starts_there) {
+  Rig World;
+  World.submit(2, "batch", 8);
+  auto Starts = World.starts();
+  cr_assert_eq(Starts.size(), 1U);
+  cr_assert(Starts.front().Worker == Failing);
+}
+
+Test(pool_risky_workers, a_task_that_is_done_ends_the_doubt) {
+  Rig World;
+  World.submit(2, "batch", 8);
+  StartOrder Proof = World.starts().front();
+  World.report(Failing, {{2, Proof.Task, Proof.Run, RunEnd::Done, ""}});
+  World.submit(3, "urgent", 8);
+  auto Starts = World.starts();
+  cr_assert_eq(Starts.size(), 1U);
+  cr_assert(Starts.front().Worker == Failing);
+}
--- a/test/correctness/pool_status.cpp
+++ b/test/correctness/pool_status.cpp
@@ -83,6 +83,33 @@
   cr_assert(Answer->At - Begin <= IntakeLimits().StatusLimit);
 }
 
+Test(pool_status, job_that_waits_is_shown_without_a_read) {
+  auto World = slowFollower();
+  // The first fills the pool for long.
+  World->submit(1, World->job(1, 8, 8, false, 20s));
+  World->run(500ms);
+  World->submit(1, World->job(2, 1, 8, false, 20s));
+  World->run(1s);
+  TimePoint Begin = World->Clock.now();
+  auto Answer = ask(*World, 1, JobId(2));
+  cr_assert(Answer->Status == JobStatus::Queued);
+  cr_assert(Answer->At == Begin);
+}
+
+Test(pool_status, change_that_waits_longest_is_recorded_first) {
+  VirtualClock Clock;
+  RecordingLog Log(Clock);
+  PoolScheduler Scheduler(PoolLimits(), Log);
+  PoolWorld World(1, 1, 1);
+  for (std::uint64_t Id = 1; Id <= 3; ++Id)
+    Scheduler.submit(World.job(Id, 1, 1, false), JobStatus::Queued);
+  Scheduler.cancel(JobId(3));
+  Scheduler.cancel(JobId(1));
+  auto First = Scheduler.changes(2);
+  cr_assert_eq(First.size(), 1U);
+  cr_assert(First.front().Job == JobId(3));
+}
+
 Test(pool_status, ended_jobs_are_recorded_before_others) {
   VirtualClock Clock;
   RecordingLog Log(Clock);
--- /dev/null
+++ b/test/error/store_watch_outage.cpp
@@ -0,0 +1,73 @@
+/// \file
+/// A watch finds a store that was silent soon after its return.
+#include "pool/StoreWatch.h"
+#include "state/AsyncStore.h"
+#include "support/RecordingLog.h"
+#include "support/VirtualTimers.h"
+
+#include <criterion/criterion.h>
+
+#include <string>
+
+using namespace banyanworks;
+using namespace banyanworks::testing;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// How long after its wait a call that is not answered is given up.
+constexpr Duration Slack = 700ms;
+
+/// A store that holds nothing and may swallow watches.
+class QuietStore : public AsyncStore {
+public:
+  explicit QuietStore(Timers &Clock) : Clock(Clock) {}
+
+  bool Silent = false;
+
+  void list(const std::string &, std::function<void(ListResult)> Done) override {
+    ListResult Empty;
+    Empty.Status = CallStatus::Done;
+    Done(Empty);
+  }
+  void watch(const WatchRequest &Request,
+             std::function<void(WatchResult)> Done) override {
+    WatchResult Answer;
+    Answer.Status = Silent ? CallStatus::Unknown : CallStatus::Done;
+    Clock.after(Request.Wait + (Silent ? Slack : Duration(1ms)),
+                [Done, Answer] { Done(Answer); });
+  }
+  void read(const std::string &, std::function<void(ListResult)>) override {}
+  void commit(const Transaction &, Duration,
+              std::function<void(TransactionResult)>) override {}
+  void grantLease(Duration, std::function<void(LeaseResult)>) override {}
+  void renewLease(StoreLeaseId, std::function<void(LeaseResult)>) override {}
+  void endLease(StoreLeaseId, std::function<void(LeaseResult)>) override {}
+
+private:
+  Timers &Clock;
+};
+
+} // namespace
+
+Test(store_watch_outage, silent_store_is_found_again_within_a_second) {
+  VirtualClock Clock;
+  VirtualTimers Timers(Clock);
+  RecordingLog Log(Clock);
+  QuietStore Store(Timers);
+  pool::StoreWatch Watch(Store, Timers, Log, "op/", pool::WatchPace(),
+                         [](const std::string &, const StoreEntry *) {});
+  Watch.start();
+  Clock.runUntil(Clock.now() + 3s);
+  // The moment of the return falls anywhere between two attempts.
+  for (Duration Outage = 3s; Outage < 5s; Outage += 100ms) {
+    Store.Silent = true;
+    Clock.runUntil(Clock.now() + Outage);
+    Store.Silent = false;
+    TimePoint Return = Clock.now();
+    Clock.runUntil(Return + 1s);
+    cr_assert(Watch.confirmedAt() > Return, "%ld ms",
+              static_cast<long>(Outage / 1ms));
+    Clock.runUntil(Return + 3s);
+  }
+}
