Reclaim room for urgent work that starts task by task

Found by a test written while reading the change: since groups are listed only for what can be placed, an urgent step of single tasks whose shape was known to find no room had none listed, and room for nothing was reclaimed; and a failed attempt for ten tasks kept a job of one task from getting room (smaller_urgent_job_gets_room failed).

--- a/src/pool/PoolSchedulerPass.cpp
+++ b/src/pool/PoolSchedulerPass.cpp
@@ -425,6 +425,9 @@
       keepReserve(Now);
     bool WantsRack = Next.Step->Gang && Next.Step->SameRack;
     bool Placed = tryPlace(Next, Now, !WantsRack);
+    // What is known to find no room was not listed.
+    if (!Placed && Next.Groups.empty() && (Urgent || Next.Terms->Advice))
+      gather(Next);
     JobId Id = Next.Owner->Spec.Id;
     if (!Placed && Urgent && !Reclaiming.contains(Id))
       Placed = reclaim(Next, WantsRack, Now);
--- a/src/pool/PoolSchedulerReclaim.cpp
+++ b/src/pool/PoolSchedulerReclaim.cpp
@@ -124,6 +124,9 @@
 bool PoolScheduler::reclaim(Candidate &Urgent, bool OneRack, TimePoint Now) {
   PlacementRequest Request = requestFor(Urgent);
   Request.MaySpan = !OneRack;
+  // Room is reclaimed for all tasks that wait, also where they start one by
+  // one.
+  Request.Whole = true;
   if (!Urgent.Terms->Advice && knownToFail(NotReclaimed, Request, Urgent))
     return false;
   struct Unit {
