--- a/src/edge/AsyncHttpClient.cpp
+++ b/src/edge/AsyncHttpClient.cpp
@@ -236,7 +236,7 @@
   if (!wellFormed(Call)) {
     HttpAnswer Refused;
     Refused.Fault = "a control character in the head of the request";
-    Self->answerLater(std::move(Started), std::move(Refused));
+    Self->answerLater(std::move(Started), Refused);
     return;
   }
   Self->begin(std::move(Started), !Call.Repeatable);
