Stop whole groups for urgent steps by the work that is lost

Cause: preemption chose runs worker by worker. A gang was priced again on each of its workers, parts of several gangs were stopped for one urgent step, runs were stopped shortly before their end, and whole workers were kept while runs stopped. All checkpoint intervals were taken as 500 ms.

Change: StopCost prices a stop by the lost time of all members, ten times as much after a stop within ten seconds, a tenth for work that is too late to be of value. planReclaim() chooses groups over the whole rack or pool. A run that by its measured progress ends before a stop would take effect is waited for, once. ReclaimHolds keeps only the needed resources; urgent jobs with tasks of equal size share them. On a worker that leaves, a gang that would lose most of its work runs on if it probably ends in time. evacuateSlow() counts the cost of the stop against a restart elsewhere.

On the unchanged code pool_stop_cost and the replays of waiting for an end and of a leaving gang in pool_stop_rules fail.

--- a/src/pool/JobProgress.h
+++ b/src/pool/JobProgress.h
@@ -9,7 +9,9 @@
 #include "pool/TaskKey.h"
 
 #include "base/Error.h"
+#include "base/Time.h"
 
+#include <optional>
 #include <span>
 #include <string>
 #include <vector>
@@ -38,6 +40,12 @@
   /// Number of runs of the group, of any run number, that may still be on a
   /// worker. Not stored.
   std::uint32_t LiveRuns = 0;
+  /// When the scheduler last stopped the group for other work or because of its
+  /// worker. Not stored.
+  std::optional<TimePoint> LastStopped;
+  /// Time until which an urgent step relies on the end of the newest run
+  /// instead of a stop. Not stored.
+  std::optional<TimePoint> AwaitedUntil;
 
   TaskKey task(JobId Job, std::uint32_t Member) const {
     return {Job, Occurrence, Step, FirstIndex + Member};
--- a/src/pool/PoolScheduler.cpp
+++ b/src/pool/PoolScheduler.cpp
@@ -13,8 +13,19 @@
 
 namespace banyanworks::pool {
 
+namespace {
+
+/// Time that an order and the report of its effect take; a quarter of
+/// PoolLimits::OrderRetry, which is several round trips.
+constexpr Duration RoundTrip = std::chrono::milliseconds(50);
+
+} // namespace
+
 PoolScheduler::PoolScheduler(const PoolLimits &Limits, DecisionLog &Log)
-    : Limits(Limits), Log(Log), Reserve(Limits.Reserve) {}
+    : Limits(Limits), Log(Log),
+      Cost({Limits.StopTime + RoundTrip, Limits.CheckpointInterval,
+            Limits.RestoreTime}),
+      Reserve(Limits.Reserve) {}
 
 bool canRun(const PoolWorker &Worker, const ServiceId &Service,
             const StepSpec &Step) {
--- a/src/pool/PoolScheduler.h
+++ b/src/pool/PoolScheduler.h
@@ -13,8 +13,11 @@
 #include "pool/PoolLoad.h"
 #include "pool/PoolSpan.h"
 #include "pool/PoolWorker.h"
+#include "pool/ReclaimHolds.h"
+#include "pool/ReclaimPlan.h"
 #include "pool/RunTable.h"
 #include "pool/SlowdownDetector.h"
+#include "pool/StopCost.h"
 #include "pool/TaskPlacer.h"
 #include "pool/UrgentReserve.h"
 #include "pool/WorkerOrders.h"
@@ -52,6 +55,10 @@
   Duration ReclaimTime = std::chrono::milliseconds(1300);
   /// Longest time that a worker takes to stop a run.
   Duration StopTime = std::chrono::milliseconds(900);
+  /// Time between two checkpoints of a task, and the time that a task takes to
+  /// resume from one.
+  Duration CheckpointInterval = std::chrono::milliseconds(500);
+  Duration RestoreTime{};
   /// Lifetime of the reservation for a waiting gang; the estimates behind it
   /// are no more accurate than this.
   Duration ReservationLifetime = std::chrono::milliseconds(200);
@@ -237,10 +244,8 @@
     /// Whether the worker is in the urgent reserve, which only urgent work may
     /// use.
     bool InReserve = false;
-    /// The urgent job for which the worker's runs are stopped, and the time
-    /// until which the worker is kept for it.
-    JobId ReclaimedFor;
-    TimePoint ReclaimedUntil;
+    /// Resources that are kept for urgent jobs while runs are stopped.
+    ReclaimHolds Holds;
   };
   /// The waiting groups of one step of a job, with the criteria of their order.
   struct StepCandidate {
@@ -279,33 +284,29 @@
     bool Guaranteed = false;
     /// Risky workers were excluded.
     bool AvoidedRisk = false;
+    /// The hold of the job that could use its own resources and those that are
+    /// interchangeable with them.
+    std::optional<ReclaimHolds::Hold> Own;
   };
   struct GroupRef {
     Job *Owner = nullptr;
     TaskGroup *Group = nullptr;
   };
-  /// A run that may be preempted for urgent work.
-  struct Victim {
-    GroupRef Ref;
-    Resources Allocated;
-    /// The work lost with the run, and the penalty for stopping the run at all,
-    /// in core seconds.
-    double Loss = 0.0;
-    double StopPenalty = 0.0;
-
-    double costPerFreedCore() const;
-  };
-  /// The runs to stop on a worker, and their total cost.
-  struct VictimSet {
-    std::vector<GroupRef> Groups;
+  /// What a stop of a group costs.
+  struct StopAssessment {
+    /// Cost of the stop of all members, in core seconds.
     double Cost = 0.0;
+    /// Whether the group ends before a stop would take effect.
+    bool EndsBeforeStop = false;
   };
-  /// Resources that a worker could provide to an urgent step.
-  struct ReclaimOffer {
-    /// Resources that are free or being freed.
-    Resources Free;
-    /// Runs that may be preempted, the cheapest per freed core first.
-    std::vector<Victim> Victims;
+  /// The workers and groups that a reclaim may use.
+  struct ReclaimOptions {
+    std::vector<WorkerState *> States;
+    std::vector<ReclaimWorker> Workers;
+    std::vector<GroupRef> Groups;
+    std::vector<ReclaimVictim> Victims;
+    /// Index of each group in Groups.
+    std::unordered_map<const TaskGroup *, std::size_t> Indices;
   };
   /// A worker that accepts tasks, with its free resources.
   struct AvailableWorker {
@@ -331,8 +332,9 @@
              const std::vector<WorkerId> &ChosenWorkers, TimePoint Now);
   void abort(Job &Owner, TaskGroup &Group, std::string_view Reason);
   void abortAll(Job &Owner, std::string_view Reason);
-  /// Aborts the groups of the tasks.
-  void abortTasks(const std::vector<TaskKey> &Tasks, std::string_view Reason);
+  /// Aborts the groups of the tasks and records the stop.
+  void abortTasks(const std::vector<TaskKey> &Tasks, std::string_view Reason,
+                  TimePoint Now);
   /// Removes a run that has ended and frees its resources.
   void removeRun(WorkerState &Worker, RunTable::iterator Run);
   void processEnd(WorkerState &Worker, const ReportedEnd &End, TimePoint Now);
@@ -383,17 +385,17 @@
   /// Prepares the request that the adviser has to answer before the step can
   /// be placed.
   void prepareAdviceRequest(const StepCandidate &Candidate, TimePoint Now);
-  static bool knownToFail(const std::vector<FailedRequest> &FailedRequests,
-                          const PlacementRequest &Request,
-                          const StepCandidate &Candidate);
-  static FailedRequest failedRequest(const PlacementRequest &Request,
-                                     const StepCandidate &Candidate);
+  bool knownToFail(const std::vector<FailedRequest> &FailedRequests,
+                   const PlacementRequest &Request,
+                   const StepCandidate &Candidate) const;
+  FailedRequest failedRequest(const PlacementRequest &Request,
+                              const StepCandidate &Candidate) const;
+  /// Returns a hold of the candidate's job; null if it has none.
+  const ReclaimHolds::Hold *ownHold(const StepCandidate &Candidate) const;
   /// Whether the candidate is kept off the worker. A worker that fails all its
   /// tasks has free resources for that reason, and an urgent job has few
   /// attempts.
   bool isRisky(const WorkerState &Worker, const StepCandidate &Candidate) const;
-  bool isReclaimedForOther(const WorkerState &Worker,
-                           const StepCandidate &Candidate, TimePoint Now) const;
   PlacementRequest requestFor(const StepCandidate &Candidate) const;
   /// Reserves workers for a gang that does not fit yet.
   void reserveForGang(const StepCandidate &Candidate, TimePoint Now);
@@ -403,20 +405,29 @@
   void updateReserve(TimePoint Now);
   bool tryPlace(StepCandidate &Candidate, TimePoint Now, bool MaySpanRacks);
   void schedule(TimePoint Now, WallTime Wall);
-  ReclaimOffer reclaimOffer(const WorkerState &Worker,
-                            const StepCandidate &Candidate, TimePoint Now);
-  /// Chooses the cheapest runs to stop so that \p Tasks tasks of the step fit;
-  /// the cost is negative if they cannot fit.
-  static VictimSet chooseVictims(const ReclaimOffer &Offer,
-                                 const StepCandidate &Candidate,
-                                 std::uint32_t Tasks);
-  bool reclaim(StepCandidate &Candidate, bool OneRack, TimePoint Now);
+  /// Adds a worker to the options of a reclaim for the candidate.
+  void addReclaimWorker(ReclaimOptions &Options, WorkerState &Worker,
+                        const StepCandidate &Candidate, TimePoint Now,
+                        WallTime Wall);
+  bool reclaim(StepCandidate &Candidate, bool OneRack, TimePoint Now,
+               WallTime Wall);
+  /// Frees the resources that were kept for a job that has started, or leaves
+  /// them to the next job that can use them.
+  void releaseHolds(JobId Id);
+  /// Keeps the resources of \p Tasks tasks on a worker for the candidate.
+  void holdForReclaim(const StepCandidate &Candidate, WorkerState &Worker,
+                      std::uint32_t Tasks, TimePoint Now);
   /// Whether a run may be preempted for the urgent candidate.
   bool mayBePreempted(const Job &Owner, const PlacedRun &Run,
                       const StepCandidate &Candidate) const;
   /// Computes the accelerators that urgent work demands and holds.
   void computeUrgentUse();
-  double stopLoss(const TaskGroup &Group, const Job &Owner, TimePoint Now);
+  RunForecast forecast(const RunKey &Key, const PlacedRun &Run, TimePoint Now);
+  /// Whether the job of a running group can no longer be of value.
+  bool isWorthless(const Job &Owner, const TaskGroup &Group, Duration Remaining,
+                   WallTime Wall) const;
+  StopAssessment assessStop(const TaskGroup &Group, const Job &Owner,
+                            TimePoint Now, WallTime Wall);
   void orderStarts(PoolOrders &Orders, TimePoint Now);
   void orderStops(PoolOrders &Orders, TimePoint Now);
   void orderPaces(PoolOrders &Orders, TimePoint Now);
@@ -443,6 +454,9 @@
   /// Detects slow and failing workers.
   void updateSuspects(TimePoint Now);
   void evacuateSlow(TimePoint Now);
+  /// Whether a run is left to end on a worker that leaves after \p TimeLeft.
+  bool endsOnLeavingWorker(const RunKey &Key, const PlacedRun &Run,
+                           Duration TimeLeft, TimePoint Now);
   /// Stops runs on draining workers that would not end before the worker
   /// leaves.
   void evacuateDraining(TimePoint Now);
@@ -477,8 +491,12 @@
   /// Workers that accept tasks; rebuilt after each health check, and empty
   /// until then.
   std::vector<AvailableWorker> AvailableWorkers;
-  /// Work lost by stopping a group, computed at most once in a pass.
-  std::unordered_map<const TaskGroup *, double> StopLosses;
+  StopCost Cost;
+  /// What a stop of a group costs, computed at most once in a pass.
+  std::unordered_map<const TaskGroup *, StopAssessment> StopAssessments;
+  /// Jobs for which resources are kept at the start of this pass, each with one
+  /// of its holds.
+  std::map<JobId, ReclaimHolds::Hold> ReclaimingJobs;
   /// Time of the last health check.
   TimePoint HealthCheckedAt;
   TimePoint ReserveChosenAt;
--- a/src/pool/PoolSchedulerHealth.cpp
+++ b/src/pool/PoolSchedulerHealth.cpp
@@ -41,11 +41,13 @@
 }
 
 void PoolScheduler::abortTasks(const std::vector<TaskKey> &Tasks,
-                               std::string_view Reason) {
+                               std::string_view Reason, TimePoint Now) {
   for (const TaskKey &Task : Tasks) {
     GroupRef Ref = findGroup(Task);
-    if (Ref.Group)
-      abort(*Ref.Owner, *Ref.Group, Reason);
+    if (!Ref.Group)
+      continue;
+    Ref.Group->LastStopped = Now;
+    abort(*Ref.Owner, *Ref.Group, Reason);
   }
 }
 
@@ -61,29 +63,51 @@
         continue;
       const StepSpec &Step = Ref.Owner->Spec.Steps[Key.first.Step];
       double DoneFraction = std::min(1.0, Run.ProgressPercent / 100.0);
-      double RetainedFraction = Step.Checkpoints ? DoneFraction : 0.0;
+      Duration TotalTime = scaled(std::chrono::seconds(100), 1 / Run.BestSpeed);
+      double LostFraction =
+          Step.Checkpoints
+              ? toSeconds(Cost.lostTime(true, Now - Run.OrderedAt)) /
+                    toSeconds(TotalTime)
+              : DoneFraction;
+      double RetainedFraction =
+          DoneFraction -
+          LostFraction * StopCost::factor(Ref.Group->LastStopped, false, Now);
       if (Step.MaxUnavailable == 0 && !Step.LongRunning &&
-          Worker.Slowdown.worthRestartingElsewhere(
-              DoneFraction, RetainedFraction,
-              scaled(std::chrono::seconds(100), 1 / Run.BestSpeed)))
+          Worker.Slowdown.worthRestartingElsewhere(DoneFraction,
+                                                   RetainedFraction, TotalTime))
         TasksToMove.push_back(Key.first);
     }
-    abortTasks(TasksToMove, "worker_slow");
+    abortTasks(TasksToMove, "worker_slow", Now);
   }
 }
 
+bool PoolScheduler::endsOnLeavingWorker(const RunKey &Key, const PlacedRun &Run,
+                                        Duration TimeLeft, TimePoint Now) {
+  if (remaining(Key, Run, Now) <= TimeLeft - Limits.StopTime)
+    return true;
+  GroupRef Ref = findGroup(Key.first);
+  if (!Ref.Group || Ref.Group->Members == 1)
+    return false;
+  // The stop of a gang that keeps little from its checkpoint loses as much as
+  // the worker's leave, so that only the likelier outcome matters.
+  RunForecast Forecast = forecast(Key, Run, Now);
+  bool Checkpoints = Ref.Owner->Spec.Steps[Key.first.Step].Checkpoints;
+  return Cost.lostTime(Checkpoints, Forecast.Elapsed) > Forecast.Elapsed / 2 &&
+         StopCost::endProbability(Forecast, TimeLeft) >= StopCost::LikelyEnd;
+}
+
 void PoolScheduler::evacuateDraining(TimePoint Now) {
   for (auto &[Id, Worker] : Workers) {
     if (Worker.LeavesAt == TimePoint::max() || Worker.Unresponsive)
       continue;
-    Duration TimeLeft = Worker.LeavesAt - Now - Limits.StopTime;
+    Duration TimeLeft = Worker.LeavesAt - Now;
     std::vector<TaskKey> TasksToStop;
     for (const auto &[Key, Run] : Worker.Runs) {
       if (!Run.StopRequested && Run.Phase == RunPhase::Confirmed &&
-          remaining(Key, Run, Now) > TimeLeft)
+          !endsOnLeavingWorker(Key, Run, TimeLeft, Now))
         TasksToStop.push_back(Key.first);
     }
-    abortTasks(TasksToStop, "worker_leaves");
+    abortTasks(TasksToStop, "worker_leaves", Now);
   }
 }
 
--- a/src/pool/PoolSchedulerPass.cpp
+++ b/src/pool/PoolSchedulerPass.cpp
@@ -203,14 +203,16 @@
     if (!Request.PerTask.fitsIn(Available.Free))
       continue;
     const WorkerState &Worker = *Available.Worker;
-    if (isReclaimedForOther(Worker, Candidate, Now) ||
-        isRisky(Worker, Candidate) ||
+    if (isRisky(Worker, Candidate) ||
         (!Urgent && Worker.InReserve && !MayUseReserve) ||
         !eligible(Worker, Candidate, Now))
       continue;
     PlacementTarget Target;
     Target.Worker = &Worker.Info;
     Target.Free = Available.Free;
+    if (!Worker.Holds.empty())
+      Target.Free -= Worker.Holds.heldForOthers(Candidate.Owner->Spec.Id, Now,
+                                                ownHold(Candidate));
     if (Reservation && !Urgent)
       Target.Free = Reservation->usableResources(Worker.Info.Id, Target.Free,
                                                  Candidate.Step->Estimate);
@@ -239,6 +241,7 @@
   Candidate.Owner->WaitingGroups -= Groups.size();
   for (TaskGroup *Group : Groups) {
     Group->State = GroupState::Active;
+    Group->AwaitedUntil.reset();
     // The queueing time is measured only for first runs of initial steps; later
     // steps wait for earlier ones, and later runs for others to end.
     if (Group->Run == RunNumber() && Candidate.Step->After.empty())
@@ -257,6 +260,7 @@
       Run.PlannedVersion = Candidate.Owner->Version;
       Run.OrderedAt = Now;
       allocateResources(Worker, Run.Allocated);
+      Worker.Holds.recordPlacement(Candidate.Owner->Spec.Id, Run.Allocated);
       Worker.Runs.emplace(RunKey(Task, Group->Run), Run);
       WorkersWithPendingOrders.insert(ChosenWorkers[NextWorker]);
       Renewals.insert(ChosenWorkers[NextWorker]);
@@ -345,7 +349,8 @@
 
 bool PoolScheduler::knownToFail(
     const std::vector<FailedRequest> &FailedRequests,
-    const PlacementRequest &Request, const StepCandidate &Candidate) {
+    const PlacementRequest &Request, const StepCandidate &Candidate) const {
+  const ReclaimHolds::Hold *Own = ownHold(Candidate);
   auto MinTasks = [](const PlacementRequest &Requested) {
     return Requested.AllOrNothing ? Requested.Count : 1;
   };
@@ -361,6 +366,8 @@
                Earlier.Service == Candidate.Terms->Service &&
                (Earlier.Guaranteed || !Candidate.Guaranteed) &&
                (!Earlier.AvoidedRisk || Candidate.avoidsRisk()) &&
+               (!Own ||
+                (Earlier.Own && Own->isInterchangeable(*Earlier.Own))) &&
                (Earlier.Label.empty() ||
                 Earlier.Label == Candidate.Step->RequiredLabel) &&
                Earlier.Estimate <= Candidate.Step->Estimate;
@@ -369,13 +376,21 @@
 
 PoolScheduler::FailedRequest
 PoolScheduler::failedRequest(const PlacementRequest &Request,
-                             const StepCandidate &Candidate) {
+                             const StepCandidate &Candidate) const {
+  const ReclaimHolds::Hold *Own = ownHold(Candidate);
   return {Request,
           Candidate.Terms->Service,
           Candidate.Step->RequiredLabel,
           Candidate.Step->Estimate,
           Candidate.Guaranteed,
-          Candidate.avoidsRisk()};
+          Candidate.avoidsRisk(),
+          Own ? std::optional(*Own) : std::nullopt};
+}
+
+const ReclaimHolds::Hold *
+PoolScheduler::ownHold(const StepCandidate &Candidate) const {
+  auto Found = ReclaimingJobs.find(Candidate.Owner->Spec.Id);
+  return Found == ReclaimingJobs.end() ? nullptr : &Found->second;
 }
 
 bool PoolScheduler::isRisky(const WorkerState &Worker,
@@ -384,13 +399,6 @@
          Candidate.avoidsRisk();
 }
 
-bool PoolScheduler::isReclaimedForOther(const WorkerState &Worker,
-                                        const StepCandidate &Candidate,
-                                        TimePoint Now) const {
-  return Now < Worker.ReclaimedUntil &&
-         Worker.ReclaimedFor != Candidate.Owner->Spec.Id;
-}
-
 bool PoolScheduler::tryPlace(StepCandidate &Candidate, TimePoint Now,
                              bool MaySpanRacks) {
   const StepSpec &Step = *Candidate.Step;
@@ -443,18 +451,18 @@
 }
 
 void PoolScheduler::schedule(TimePoint Now, WallTime Wall) {
-  std::set<JobId> Reclaiming;
+  ReclaimingJobs.clear();
   std::erase_if(ReclaimingWorkers, [&](const WorkerId &Id) {
-    const WorkerState &Worker = Workers.at(Id);
-    bool Expired = Now >= Worker.ReclaimedUntil;
-    if (!Expired)
-      Reclaiming.insert(Worker.ReclaimedFor);
-    return Expired;
+    ReclaimHolds &Holds = Workers.at(Id).Holds;
+    Holds.dropExpired(Now);
+    for (const ReclaimHolds::Hold &Kept : Holds.holds())
+      ReclaimingJobs.try_emplace(Kept.Job, Kept);
+    return Holds.empty();
   });
   FailedPlacements.clear();
   FailedReclaims.clear();
   PendingAdvice.reset();
-  StopLosses.clear();
+  StopAssessments.clear();
   if (AvailableWorkers.empty())
     listAvailableWorkers();
   std::optional<GangReservation> LastReservation =
@@ -474,22 +482,18 @@
         (Urgent || Candidate.Terms->Advice))
       listWaitingGroups(Candidate);
     JobId Id = Candidate.Owner->Spec.Id;
-    if (!Placed && Urgent && !Reclaiming.contains(Id))
-      Placed = reclaim(Candidate, PrefersOneRack, Now);
-    if (!Placed && PrefersOneRack && !Reclaiming.contains(Id)) {
+    bool Reclaiming = ReclaimingJobs.contains(Id);
+    if (!Placed && Urgent && !Reclaiming)
+      Placed = reclaim(Candidate, PrefersOneRack, Now, Wall);
+    if (!Placed && PrefersOneRack && !Reclaiming) {
       Placed = tryPlace(Candidate, Now, true);
       if (!Placed && Urgent)
-        reclaim(Candidate, false, Now);
+        reclaim(Candidate, false, Now, Wall);
     }
     if (Candidate.Terms->Advice && !Candidate.Groups.empty() && !PendingAdvice)
       prepareAdviceRequest(Candidate, Now);
-    if (Placed && Candidate.Groups.empty() && Reclaiming.contains(Id)) {
-      for (const WorkerId &Other : ReclaimingWorkers) {
-        WorkerState &Worker = Workers.at(Other);
-        if (Worker.ReclaimedFor == Id)
-          Worker.ReclaimedUntil = TimePoint();
-      }
-    }
+    if (Placed && Candidate.Groups.empty() && Reclaiming)
+      releaseHolds(Id);
     // Without a reservation, small tasks would take the resources that a gang
     // waits for. A job that is too late to be of use gets no reservation.
     if (Placed || Urgent || Reservation || !Candidate.Step->Gang ||
--- a/src/pool/PoolSchedulerReclaim.cpp
+++ b/src/pool/PoolSchedulerReclaim.cpp
@@ -1,10 +1,11 @@
 /// \file
-/// Implements preemption for urgent work: the choice of runs to stop, by the
-/// work that is lost.
+/// Implements preemption for urgent work: the stops that an urgent step may
+/// order, and their cost.
 #include "pool/PoolScheduler.h"
 
 #include "base/DecisionLog.h"
 #include "pool/JobName.h"
+#include "pool/JobObjective.h"
 
 #include <algorithm>
 #include <utility>
@@ -13,89 +14,79 @@
 
 namespace {
 
-/// Weight of an accelerator, in cores, when losses are compared.
-constexpr double CoresPerAccelerator = 8.0;
-/// Penalty for stopping urgent work, in core seconds, in addition to the lost
-/// work: above any loss of other work, so that other work is preempted first.
+/// Cost of stopping urgent work, in core seconds, in addition to the lost work:
+/// above any loss of other work, so that other work is preempted first.
 constexpr double UrgentStopPenalty = 1e6;
+/// Progress, in percent, from which a speed is measured; progress is reported
+/// in whole percents, so that the error is then below a tenth.
+constexpr std::uint32_t MinMeasuredPercent = 15;
 
-double coreSeconds(const Resources &Held, Duration Time) {
-  return (static_cast<double>(Held.MilliCores) / 1000.0 +
-          CoresPerAccelerator * Held.Accelerators) *
-         toSeconds(Time);
+} // namespace
+
+RunForecast PoolScheduler::forecast(const RunKey &Key, const PlacedRun &Run,
+                                    TimePoint Now) {
+  RunForecast Result;
+  Result.Elapsed = Now - Run.OrderedAt;
+  GroupRef Ref = findGroup(Key.first);
+  std::uint32_t First = Run.FirstPercent.value_or(0);
+  Result.Measured = Ref.Group && Run.FirstPercent &&
+                    Run.ProgressPercent >= First + MinMeasuredPercent &&
+                    Run.ProgressPercent < 100 &&
+                    !Ref.Owner->Spec.Steps[Key.first.Step].LongRunning;
+  if (!Result.Measured) {
+    Result.Remaining = remaining(Key, Run, Now);
+    return Result;
+  }
+  Duration PerPercent =
+      (Run.ReportedAt - Run.FirstReportedAt) / (Run.ProgressPercent - First);
+  Result.Remaining =
+      std::max(Duration(), PerPercent * (100 - Run.ProgressPercent) -
+                               (Now - Run.ReportedAt));
+  return Result;
 }
 
-} // namespace
+bool PoolScheduler::isWorthless(const Job &Owner, const TaskGroup &Group,
+                                Duration Remaining, WallTime Wall) const {
+  const StepSpec &Step = Owner.Spec.Steps[Group.Step];
+  Duration PathAfter = Owner.RemainingPaths[Group.Step] - Step.Estimate;
+  return !Step.LongRunning &&
+         Wall + Remaining + PathAfter >
+             Owner.Spec.dueAt(Group.Occurrence) +
+                 objectiveOf(Owner.CriticalPath, *Owner.Terms) *
+                     MaxLatenessFactor;
+}
 
-double PoolScheduler::stopLoss(const TaskGroup &Group, const Job &Owner,
-                               TimePoint Now) {
-  auto [Entry, Inserted] = StopLosses.emplace(&Group, 0.0);
+PoolScheduler::StopAssessment PoolScheduler::assessStop(const TaskGroup &Group,
+                                                        const Job &Owner,
+                                                        TimePoint Now,
+                                                        WallTime Wall) {
+  auto [Entry, Inserted] = StopAssessments.emplace(&Group, StopAssessment());
+  StopAssessment &Result = Entry->second;
   if (!Inserted)
-    return Entry->second;
+    return Result;
   const StepSpec &Step = Owner.Spec.Steps[Group.Step];
-  double &Loss = Entry->second;
+  Duration LongestRemaining{};
   for (std::uint32_t Member = 0; Member < Group.Members; ++Member) {
     const PlacedRun *Run = runOf(Owner, Group, Member);
     if (!Run)
       continue;
-    // A checkpointing task loses only the work since its last checkpoint and
-    // the time of its restart.
-    Duration LostTime = Step.Checkpoints ? std::chrono::milliseconds(500)
-                                         : Now - Run->OrderedAt;
-    Loss += coreSeconds(Step.PerTask, LostTime);
+    RunForecast Forecast =
+        forecast({Group.task(Owner.Spec.Id, Member), Group.Run}, *Run, Now);
+    // Gang members end together, so the forecast of one holds for all.
+    Result.EndsBeforeStop =
+        Result.EndsBeforeStop || Cost.endsBeforeStop(Forecast);
+    LongestRemaining = std::max(LongestRemaining, Forecast.Remaining);
+    Result.Cost += coreSeconds(
+        Step.PerTask, Cost.lostTime(Step.Checkpoints, Forecast.Elapsed));
   }
-  return Loss;
-}
-
-double PoolScheduler::Victim::costPerFreedCore() const {
-  double FreedPerSecond = coreSeconds(Allocated, std::chrono::seconds(1));
-  return Loss / std::max(0.001, FreedPerSecond) + StopPenalty;
-}
-
-PoolScheduler::ReclaimOffer
-PoolScheduler::reclaimOffer(const WorkerState &Worker,
-                            const StepCandidate &Candidate, TimePoint Now) {
-  ReclaimOffer Result;
-  Result.Free = Worker.Info.Capacity - Worker.Allocated;
-  for (const auto &[Key, Run] : Worker.Runs) {
-    if (Run.StopRequested) {
-      Result.Free += Run.Allocated;
-      continue;
-    }
-    GroupRef Ref = findGroup(Key.first);
-    if (!Ref.Group ||
-        Ref.Owner->Spec.Steps[Key.first.Step].MaxUnavailable != 0 ||
-        !mayBePreempted(*Ref.Owner, Run, Candidate))
-      continue;
-    bool Urgent = Ref.Owner->Terms->Priority == 0;
-    Result.Victims.push_back({Ref, Run.Allocated,
-                              stopLoss(*Ref.Group, *Ref.Owner, Now),
-                              Urgent ? UrgentStopPenalty : 0.0});
-  }
-  std::stable_sort(Result.Victims.begin(), Result.Victims.end(),
-                   [](const Victim &Left, const Victim &Right) {
-                     return Left.costPerFreedCore() < Right.costPerFreedCore();
-                   });
-  return Result;
-}
-
-PoolScheduler::VictimSet
-PoolScheduler::chooseVictims(const ReclaimOffer &Offer,
-                             const StepCandidate &Candidate,
-                             std::uint32_t Tasks) {
-  Resources Free = Offer.Free;
-  Resources Needed =
-      Candidate.Step->allocatedResources() * static_cast<std::int32_t>(Tasks);
-  VictimSet Result;
-  for (const Victim &NextVictim : Offer.Victims) {
-    if (Needed.fitsIn(Free))
-      break;
-    Free += NextVictim.Allocated;
-    Result.Groups.push_back(NextVictim.Ref);
-    Result.Cost += NextVictim.Loss + NextVictim.StopPenalty;
-  }
-  if (!Needed.fitsIn(Free))
-    Result.Cost = -1.0;
+  // A run that did not end as forecast is not waited for again.
+  if (Group.AwaitedUntil && Now >= *Group.AwaitedUntil)
+    Result.EndsBeforeStop = false;
+  Result.Cost *=
+      StopCost::factor(Group.LastStopped,
+                       isWorthless(Owner, Group, LongestRemaining, Wall), Now);
+  if (Owner.Terms->Priority == 0)
+    Result.Cost += UrgentStopPenalty;
   return Result;
 }
 
@@ -125,8 +116,82 @@
   }
 }
 
+void PoolScheduler::addReclaimWorker(ReclaimOptions &Options,
+                                     WorkerState &Worker,
+                                     const StepCandidate &Candidate,
+                                     TimePoint Now, WallTime Wall) {
+  std::size_t Index = Options.Workers.size();
+  ReclaimWorker &Added = Options.Workers.emplace_back();
+  Options.States.push_back(&Worker);
+  Added.Worker = &Worker.Info;
+  Added.Free =
+      Worker.Info.Capacity - Worker.Allocated -
+      Worker.Holds.heldForOthers(Candidate.Owner->Spec.Id, Now, nullptr);
+  for (const auto &[Key, Run] : Worker.Runs) {
+    GroupRef Ref;
+    if (!Run.StopRequested)
+      Ref = findGroup(Key.first);
+    StopAssessment Assessment;
+    if (Ref.Group)
+      Assessment = assessStop(*Ref.Group, *Ref.Owner, Now, Wall);
+    if (Run.StopRequested || Assessment.EndsBeforeStop) {
+      Added.Free += Run.Allocated;
+      continue;
+    }
+    if (!Ref.Group ||
+        Ref.Owner->Spec.Steps[Key.first.Step].MaxUnavailable != 0 ||
+        !mayBePreempted(*Ref.Owner, Run, Candidate))
+      continue;
+    auto [Entry, Inserted] =
+        Options.Indices.emplace(Ref.Group, Options.Victims.size());
+    if (Inserted) {
+      Options.Victims.emplace_back().Cost = Assessment.Cost;
+      Options.Groups.push_back(Ref);
+    }
+    Options.Victims[Entry->second].Freed.emplace_back(Index, Run.Allocated);
+    Added.Victims.push_back(Entry->second);
+  }
+}
+
+void PoolScheduler::releaseHolds(JobId Id) {
+  auto Own = ReclaimingJobs.find(Id);
+  auto Next = ReclaimingJobs.end();
+  for (auto Other = ReclaimingJobs.begin(); Other != ReclaimingJobs.end();
+       ++Other) {
+    if (Other != Own && Other->second.isInterchangeable(Own->second) &&
+        (Next == ReclaimingJobs.end() ||
+         Other->second.Until < Next->second.Until))
+      Next = Other;
+  }
+  for (const WorkerId &Worker : ReclaimingWorkers) {
+    ReclaimHolds &Holds = Workers.at(Worker).Holds;
+    if (Next == ReclaimingJobs.end())
+      Holds.release(Id);
+    else
+      Holds.transfer(Id, Next->second);
+  }
+  ReclaimingJobs.erase(Own);
+}
+
+void PoolScheduler::holdForReclaim(const StepCandidate &Candidate,
+                                   WorkerState &Worker, std::uint32_t Tasks,
+                                   TimePoint Now) {
+  TimePoint Until = Now + Limits.ReclaimTime;
+  Resources PerTask = Candidate.Step->allocatedResources();
+  Worker.Holds.add({Candidate.Owner->Spec.Id,
+                    PerTask * static_cast<std::int32_t>(Tasks), PerTask,
+                    Until});
+  ReclaimingWorkers.insert(Worker.Info.Id);
+  for (const auto &Entry : Worker.Runs) {
+    GroupRef Ref = findGroup(Entry.first.first);
+    if (Ref.Group && !Ref.Group->AwaitedUntil &&
+        StopAssessments[Ref.Group].EndsBeforeStop)
+      Ref.Group->AwaitedUntil = Until;
+  }
+}
+
 bool PoolScheduler::reclaim(StepCandidate &Candidate, bool OneRack,
-                            TimePoint Now) {
+                            TimePoint Now, WallTime Wall) {
   PlacementRequest Request = requestFor(Candidate);
   Request.MaySpanRacks = !OneRack;
   // Resources are reclaimed for all waiting tasks at once, even if they start
@@ -135,81 +200,35 @@
   if (!Candidate.Terms->Advice &&
       knownToFail(FailedReclaims, Request, Candidate))
     return false;
-  struct Unit {
-    double Cost;
-    WorkerId Worker;
-    std::uint32_t Tasks;
-  };
-  std::map<RackId, std::vector<Unit>> Racks;
-  std::uint32_t Count =
-      Candidate.Step->Gang
-          ? Candidate.Step->Tasks
-          : static_cast<std::uint32_t>(Candidate.Groups.size());
-  for (const auto &[Id, Worker] : Workers) {
-    if (!eligible(Worker, Candidate, Now))
-      continue;
-    if (isReclaimedForOther(Worker, Candidate, Now) ||
-        isRisky(Worker, Candidate))
-      continue;
-    std::vector<Unit> &Units = Racks[OneRack ? Worker.Info.Rack : RackId()];
-    ReclaimOffer Offer = reclaimOffer(Worker, Candidate, Now);
-    double PreviousCost = 0.0;
-    for (std::uint32_t Tasks = 1; Tasks <= Count; ++Tasks) {
-      if (Candidate.Step->MaxPerWorker != 0 &&
-          Tasks > Candidate.Step->MaxPerWorker)
-        break;
-      VictimSet Needed = chooseVictims(Offer, Candidate, Tasks);
-      if (Needed.Cost < 0.0)
-        break;
-      Units.push_back({std::max(0.0, Needed.Cost - PreviousCost), Id, Tasks});
-      PreviousCost = std::max(PreviousCost, Needed.Cost);
-    }
-  }
-  const std::vector<Unit> *Best = nullptr;
-  double LowestCost = 0.0;
-  for (auto &[Rack, Units] : Racks) {
-    if (Units.size() < Count)
-      continue;
-    std::stable_sort(Units.begin(), Units.end(),
-                     [](const Unit &Left, const Unit &Right) {
-                       return Left.Cost < Right.Cost;
-                     });
-    double Cost = 0.0;
-    for (std::uint32_t Index = 0; Index < Count; ++Index)
-      Cost += Units[Index].Cost;
-    if (Best && Cost >= LowestCost)
-      continue;
-    Best = &Units;
-    LowestCost = Cost;
-  }
-  if (!Best) {
+  ReclaimOptions Options;
+  for (auto &[Id, Worker] : Workers)
+    if (eligible(Worker, Candidate, Now) && !isRisky(Worker, Candidate))
+      addReclaimWorker(Options, Worker, Candidate, Now, Wall);
+  std::optional<ReclaimPlan> Plan =
+      planReclaim(Request, Options.Workers, Options.Victims);
+  if (!Plan) {
     if (!Candidate.Terms->Advice)
       FailedReclaims.push_back(failedRequest(Request, Candidate));
     return false;
   }
-  std::map<WorkerId, std::uint32_t> Tasks;
-  for (std::uint32_t Index = 0; Index < Count; ++Index)
-    ++Tasks[(*Best)[Index].Worker];
-  for (const auto &[Id, Number] : Tasks) {
-    WorkerState &Worker = Workers.at(Id);
-    ReclaimingWorkers.insert(Id);
-    Worker.ReclaimedFor = Candidate.Owner->Spec.Id;
-    Worker.ReclaimedUntil = Now + Limits.ReclaimTime;
-    ReclaimOffer Offer = reclaimOffer(Worker, Candidate, Now);
-    for (GroupRef Ref : chooseVictims(Offer, Candidate, Number).Groups) {
-      if (Ref.Owner->Terms->Priority == 0) {
-        UrgentUse->removeHeld(
-            Ref.Owner->Spec.Workspace,
-            Ref.Owner->Spec.Steps[Ref.Group->Step].PerTask.Accelerators *
-                static_cast<std::int32_t>(Ref.Group->Members));
-      }
-      abort(*Ref.Owner, *Ref.Group, "reclaimed");
+  for (const auto &[Index, Tasks] : Plan->Tasks)
+    holdForReclaim(Candidate, *Options.States[Index], Tasks, Now);
+  for (std::size_t Victim : Plan->Victims) {
+    GroupRef Ref = Options.Groups[Victim];
+    if (Ref.Owner->Terms->Priority == 0) {
+      UrgentUse->removeHeld(
+          Ref.Owner->Spec.Workspace,
+          Ref.Owner->Spec.Steps[Ref.Group->Step].PerTask.Accelerators *
+              static_cast<std::int32_t>(Ref.Group->Members));
     }
+    Ref.Group->LastStopped = Now;
+    abort(*Ref.Owner, *Ref.Group, "reclaimed");
   }
   Log.write(LogLevel::Notice, "job.reclaims",
             {{"job", jobName(Candidate.Owner->Spec.Id)},
-             {"workers", Tasks.size()},
-             {"loss_core_s", static_cast<std::int64_t>(LowestCost)}});
+             {"workers", Plan->Tasks.size()},
+             {"groups", Plan->Victims.size()},
+             {"loss_core_s", static_cast<std::int64_t>(Plan->Cost)}});
   return true;
 }
 
--- a/src/pool/PoolSchedulerReports.cpp
+++ b/src/pool/PoolSchedulerReports.cpp
@@ -240,6 +240,11 @@
   if (!Step || !Step->FillsIdle)
     sampleSpeed(Worker, Run, Reported.Percent, Now);
   Run.ProgressPercent = Reported.Percent;
+  Run.ReportedAt = Now;
+  if (!Run.FirstPercent) {
+    Run.FirstPercent = Reported.Percent;
+    Run.FirstReportedAt = Now;
+  }
   if (Ref.Group && Ref.Group->Run == Reported.Run &&
       !Reported.Checkpoint.empty())
     Ref.Group->Checkpoint = Reported.Checkpoint;
--- a/src/pool/RunTable.h
+++ b/src/pool/RunTable.h
@@ -45,6 +45,12 @@
   /// When the worker confirmed the stop order.
   std::optional<TimePoint> StopConfirmedAt;
   std::uint32_t ProgressPercent = 0;
+  /// When ProgressPercent was reported.
+  TimePoint ReportedAt;
+  /// The first report of progress, and its time. A run that resumes from a
+  /// checkpoint or is inherited does not start at zero.
+  std::optional<std::uint32_t> FirstPercent;
+  TimePoint FirstReportedAt;
   /// Progress at the last sample that entered the speed measurement.
   std::uint32_t SampledPercent = 0;
   TimePoint SampledAt;
