Carry the bound on the leases of lost workers over takeovers

Cause: each new owner waited 10 s and the longest lease anew for workers that hold inherited runs and do not answer. With three takeovers after the loss of a worker, its gang started again at the bound of the last owner.

Change: LeaseBounds. A second after its recovery an owner stores the list of these workers with the time of day at which their leases have ended, plus 5 s for clocks that jump. It extends no lease of a listed worker before a commit has removed the worker from the list, so a successor takes the bound over. Where every inherited worker answers within a second, the decisions are the same (nothing_changes_while_workers_answer).

--- a/src/pool/PoolOwner.cpp
+++ b/src/pool/PoolOwner.cpp
@@ -71,34 +71,36 @@
       return;
     }
     Ownership = Lease(Granted.Lease, Granted.TimeToLive, SentAt);
-    Store.read(std::string(HeadKey),
-               [this, CallTerm, SentAt, Id = Granted.Lease](ListResult Result) {
-                 if (CallTerm != Term)
-                   return;
-                 if (Result.Status != CallStatus::Done) {
-                   stepDown("cannot read the ownership head from the store");
-                   return;
-                 }
-                 StoreRevision HeadVersion;
-                 if (!Result.Entries.empty())
-                   HeadVersion = Result.Entries.front().Version;
-                 claim(Id, HeadVersion, SentAt);
-               });
+    Store.read(std::string(HeadKey), [this, CallTerm, SentAt,
+                                      Id = Granted.Lease](ListResult Result) {
+      if (CallTerm != Term)
+        return;
+      if (Result.Status != CallStatus::Done) {
+        stepDown("cannot read the ownership head from the store");
+        return;
+      }
+      claim(Id, Result.Entries.empty() ? StoreEntry() : Result.Entries.front(),
+            SentAt);
+    });
   });
 }
 
 std::string PoolOwner::nextHead() {
   return Self.str() + '/' + std::to_string(Token.value()) + '/' +
-         std::to_string(Term) + '/' + std::to_string(++CommitCount);
+         std::to_string(Term) + '/' + std::to_string(++CommitCount) +
+         std::string(LeaseBoundsMarker);
 }
 
-void PoolOwner::claim(StoreLeaseId Lease, StoreRevision HeadVersion,
+void PoolOwner::claim(StoreLeaseId Lease, const StoreEntry &LastCommit,
                       TimePoint SentAt) {
   Transaction Changes;
   Changes.Conditions = {{std::string(OwnerKey), StoreRevision()},
-                        {std::string(HeadKey), HeadVersion}};
+                        {std::string(HeadKey), LastCommit.Version}};
   Changes.Puts = {{std::string(OwnerKey), Self.str(), Lease},
                   {std::string(HeadKey), nextHead(), StoreLeaseId()}};
+  if (LastCommit.Version != StoreRevision() &&
+      !LastCommit.Value.ends_with(LeaseBoundsMarker))
+    Changes.Deletes.emplace_back(LeaseBoundsKey);
   std::uint64_t CallTerm = Term;
   Store.commit(Changes, Limits.CommitTimeout,
                [this, CallTerm, SentAt](const TransactionResult &Result) {
@@ -135,7 +137,7 @@
   KnownJobs.watch().refresh([this, CallTerm] {
     if (CallTerm != Term)
       return;
-    Store.list(std::string(ProgressPrefix),
+    Store.list(std::string(OwnerPrefix),
                [this, CallTerm](const ListResult &Result) {
                  if (CallTerm != Term)
                    return;
@@ -160,6 +162,10 @@
     Scheduler->updateWorker(Entry.second, Clock.now());
   std::size_t Restored = 0;
   for (const StoreEntry &Record : Records) {
+    if (Record.Key == LeaseBoundsKey)
+      restoreLeaseBounds(Record.Value);
+    if (!Record.Key.starts_with(ProgressPrefix))
+      continue;
     auto Id = parseJobName(
         std::string_view(Record.Key).substr(ProgressPrefix.size()));
     const JobCache::Entry *Job = Id ? KnownJobs.findJob(*Id) : nullptr;
@@ -179,6 +185,7 @@
     ++Restored;
   }
   Phase = Role::Owner;
+  RecoveredAt = Clock.now();
   for (const auto &Entry : KnownJobs.jobs())
     jobChanged(Entry.first);
   for (JobId Id : KnownJobs.refusedJobs())
@@ -191,6 +198,18 @@
   runPass();
 }
 
+void PoolOwner::restoreLeaseBounds(const std::string &Stored) {
+  auto Restored = Bounds.restore(Stored, earlierLeasesEndBy(), Clock.now(),
+                                 Clock.wallNow());
+  if (!Restored) {
+    Log.write(LogLevel::Change, "leases.ignored",
+              {{"key", LeaseBoundsKey}, {"reason", Restored.error().Message}});
+    return;
+  }
+  Log.write(LogLevel::Change, "leases.inherited",
+            {{"token", Token.value()}, {"workers", Bounds.listed().size()}});
+}
+
 void PoolOwner::stepDown(std::string_view Reason) {
   if (Phase == Role::Follower)
     return;
@@ -207,6 +226,8 @@
   Ownership.reset();
   Scheduler.reset();
   Renewals.clear();
+  Bounds = LeaseBounds();
+  UnansweredListed = false;
   FinalJobs.clear();
   LoadPublishedAt = TimePoint();
   LastSweepAt = TimePoint();
--- a/src/pool/PoolOwner.h
+++ b/src/pool/PoolOwner.h
@@ -6,6 +6,7 @@
 
 #include "base/Ids.h"
 #include "base/Random.h"
+#include "pool/LeaseBounds.h"
 #include "pool/PoolConfiguration.h"
 #include "pool/PoolScheduler.h"
 #include "state/Lease.h"
@@ -60,6 +61,9 @@
   /// workers' leases, since the store may be down for all daemons. A successor
   /// relies on this bound for workers that it cannot reach.
   Duration RenewWithoutStoreLimit = std::chrono::seconds(10);
+  /// Time after a recovery within which a worker has to answer; several round
+  /// trips. The leases of those that did not are recorded for a successor.
+  Duration LeaseListDelay = std::chrono::seconds(1);
   /// Longest lease that a worker grants.
   Duration MaxWorkerLease = std::chrono::seconds(6);
   /// Longest time for which a worker with running tasks may delay its answer to
@@ -133,10 +137,14 @@
   void ownerChanged();
   void scheduleElection(Duration Delay);
   void acquire();
-  void claim(StoreLeaseId Lease, StoreRevision HeadVersion, TimePoint SentAt);
+  /// Claims the ownership. \p LastCommit is the entry of the head; default if
+  /// there is none.
+  void claim(StoreLeaseId Lease, const StoreEntry &LastCommit,
+             TimePoint SentAt);
   void ownershipAcquired(StoreRevision Version);
   void recover();
   void restoreJobs(const std::vector<StoreEntry> &Records);
+  void restoreLeaseBounds(const std::string &Stored);
   void stepDown(std::string_view Reason);
   /// Whether the last renewal of the ownership is recent enough to send orders
   /// and to extend leases; a successor relies on this bound.
@@ -177,7 +185,14 @@
                        TimePoint SentAt, const WorkerReport &Report);
   /// Renews the lease of a worker after a pause, if a renewal is due by then.
   void renewLater(const WorkerId &Id, Duration Pause);
+  /// Time by which all leases of earlier owners have ended.
+  TimePoint earlierLeasesEndBy() const;
   TimePoint leasesEndBy(const RenewalState &State) const;
+  /// Adds the workers that have not answered in time to the list of bounds, and
+  /// releases those without runs.
+  void updateLeaseBounds(TimePoint Now);
+  /// Extends the leases of the workers that a commit removed from the list.
+  void leaseBoundsCommitted(TimePoint Now);
   void removeFinalJobs();
 
   AsyncStore &Store;
@@ -204,6 +219,9 @@
   StoreRevision Head;
   TimePoint TookOverAt;
   TimePoint RenewedAt;
+  TimePoint RecoveredAt;
+  LeaseBounds Bounds;
+  bool UnansweredListed = false;
   std::unique_ptr<PoolScheduler> Scheduler;
   PoolConfiguration Configuration;
   std::set<DomainId> DomainsOutOfService;
--- a/src/pool/PoolOwnerPass.cpp
+++ b/src/pool/PoolOwnerPass.cpp
@@ -20,7 +20,8 @@
 namespace {
 
 /// Job entries in one commit: a store transaction takes 32 operations, three of
-/// which are the head, its condition and the load.
+/// which are the head, its condition and the load. The list of lease bounds
+/// takes the place of one entry.
 constexpr std::size_t JobEntriesPerCommit = 29;
 
 } // namespace
@@ -28,6 +29,7 @@
 struct PoolOwner::PendingCommit {
   Transaction Changes;
   std::vector<JobChange> Jobs;
+  bool WritesBounds = false;
   TimePoint SentAt;
 };
 
@@ -61,6 +63,7 @@
   if (SweepDue) {
     LastSweepAt = Now;
     expireLeases(Now);
+    updateLeaseBounds(Now);
   }
   PoolOrders Orders = Scheduler->runPass(Now, Clock.wallNow());
   sendOrders(Orders);
@@ -83,6 +86,8 @@
 
 void PoolOwner::sendOrders(const PoolOrders &Orders) {
   std::uint64_t CallTerm = Term;
+  // A start order extends the worker's lease too. It follows a commit that was
+  // built after the worker's answer, which took the worker off the Bounds.
   for (const StartOrder &Order : Orders.Starts) {
     const PoolWorker *Worker = Scheduler->worker(Order.Worker);
     Workers.start(*Worker, Order, [this, CallTerm, Order](OrderResult Result) {
@@ -115,10 +120,12 @@
 }
 
 void PoolOwner::commit() {
-  if (CommitInFlight || !Scheduler->hasChanges())
+  if (CommitInFlight || (!Scheduler->hasChanges() && !Bounds.changed()))
     return;
   auto Write = std::make_shared<PendingCommit>();
-  Write->Jobs = Scheduler->changes(JobEntriesPerCommit);
+  Write->WritesBounds = Bounds.changed();
+  Write->Jobs =
+      Scheduler->changes(JobEntriesPerCommit - (Write->WritesBounds ? 1 : 0));
   Write->Changes.Conditions.push_back({std::string(HeadKey), Head});
   Write->Changes.Puts.push_back(
       {std::string(HeadKey), nextHead(), StoreLeaseId()});
@@ -136,6 +143,14 @@
                                      StoreLeaseId()});
     }
   }
+  if (Write->WritesBounds) {
+    std::string List = Bounds.startCommit();
+    if (List.empty())
+      Write->Changes.Deletes.emplace_back(LeaseBoundsKey);
+    else
+      Write->Changes.Puts.push_back(
+          {std::string(LeaseBoundsKey), std::move(List), StoreLeaseId()});
+  }
   if (TimePoint Now = Clock.now();
       Now - LoadPublishedAt >= Limits.LoadPublishInterval) {
     LoadPublishedAt = Now;
@@ -182,6 +197,8 @@
   Head = Version;
   CommitInFlight = false;
   Scheduler->committed(Write->Jobs, Clock.now());
+  if (Write->WritesBounds)
+    leaseBoundsCommitted(Clock.now());
   Log.write(LogLevel::Routine, "owner.recorded",
             {{"revision", Version.value()},
              {"jobs", Write->Jobs.size()},
@@ -212,12 +229,49 @@
   });
 }
 
+TimePoint PoolOwner::earlierLeasesEndBy() const {
+  auto Lease = scaled(Limits.MaxWorkerLease, 1.0 / (1.0 - WorkerClockError));
+  return TookOverAt + Limits.RenewWithoutStoreLimit + Lease;
+}
+
 TimePoint PoolOwner::leasesEndBy(const RenewalState &State) const {
   TimePoint Granted = Workers.leasesEndBy(State.Worker->Id);
+  if (auto Earlier = Bounds.endsBy(State.Worker->Id))
+    return std::max(Granted, *Earlier);
   if (State.HasReported)
     return Granted;
-  auto Lease = scaled(Limits.MaxWorkerLease, 1.0 / (1.0 - WorkerClockError));
-  return std::max(Granted, TookOverAt + Limits.RenewWithoutStoreLimit + Lease);
+  return std::max(Granted, earlierLeasesEndBy());
+}
+
+void PoolOwner::updateLeaseBounds(TimePoint Now) {
+  if (Now - RecoveredAt >= Limits.LeaseListDelay &&
+      !std::exchange(UnansweredListed, true)) {
+    WallTime Wall = Clock.wallNow();
+    Scheduler->visitWorkers([this, Now, Wall](const RenewalState &State) {
+      if (State.HoldsRuns && !State.HasReported)
+        Bounds.add(State.Worker->Id, leasesEndBy(State), Now, Wall);
+    });
+    if (Bounds.changed()) {
+      Log.write(
+          LogLevel::Change, "leases.listed",
+          {{"token", Token.value()}, {"workers", Bounds.listed().size()}});
+    }
+  }
+  for (const WorkerId &Id : Bounds.listed()) {
+    auto State = Scheduler->renewalState(Id);
+    if (!State || State->HasReported || !State->HoldsRuns)
+      Bounds.release(Id);
+  }
+}
+
+void PoolOwner::leaseBoundsCommitted(TimePoint Now) {
+  for (const WorkerId &Id : Bounds.committed()) {
+    auto State = Scheduler->renewalState(Id);
+    if (!State)
+      continue;
+    Renewals[Id].NotBefore = TimePoint();
+    renewIfDue(*State, Now);
+  }
 }
 
 void PoolOwner::expireLeases(TimePoint Now) {
@@ -271,7 +325,8 @@
   // received, so the cursor is sent only when there are ends to acknowledge.
   if (!State.Unresponsive && Tracked.AcknowledgedTo < State.Acknowledged)
     Order.Acknowledged = State.Acknowledged;
-  Order.ExtendLease = !State.Unresponsive && mayActAt(Clock.now());
+  Order.ExtendLease = !State.Unresponsive && mayActAt(Clock.now()) &&
+                      !Bounds.withholdsLease(State.Worker->Id);
   if (State.Unresponsive)
     Order.Timeout = Limits.UnresponsiveTimeout;
   // A worker with ends that cannot be acknowledged yet would answer at once.
@@ -294,8 +349,12 @@
   Renewal &Tracked = Renewals[Id];
   Tracked.InFlight = false;
   bool Answered = Report.Result == OrderResult::Done;
-  if (Answered)
+  if (Answered) {
     Tracked.AcknowledgedTo = Order.Acknowledged;
+    Bounds.release(Id);
+    if (Order.ExtendLease)
+      Bounds.leaseExtended(Id);
+  }
   Duration Pause = Answered ? Duration::zero() : Limits.UnresponsiveRetry;
   Scheduler->workerReported(Id, Report, SentAt, Now);
   auto State = Scheduler->renewalState(Id);
@@ -305,11 +364,12 @@
     // A new incarnation numbers its ends from 1.
     if (Tracked.AcknowledgedTo > State->Acknowledged)
       Tracked.AcknowledgedTo = 0;
-    if (Answered && State->HasUnrecordedEnds)
+    if (Answered && (State->HasUnrecordedEnds || Bounds.withholdsLease(Id)))
       Pause = Limits.RenewalWait;
     Tracked.NotBefore = Now + Pause;
   }
-  if (!Answered || !Report.Ended.empty() || Scheduler->hasChanges())
+  if (!Answered || !Report.Ended.empty() || Scheduler->hasChanges() ||
+      Bounds.changed())
     schedulePass();
   if (!State)
     return;
--- a/test/support/PoolSimulation.cpp
+++ b/test/support/PoolSimulation.cpp
@@ -20,8 +20,10 @@
 } // namespace
 
 PoolSimulation::PoolSimulation(std::uint64_t Seed, unsigned DaemonCount,
-                               unsigned Racks, const PoolLimits &Limits)
-    : Shared(Clock), Pool(Clock), Seed(Seed), Limits(Limits) {
+                               unsigned Racks, const PoolLimits &Limits,
+                               const OwnerLimits &Ownership)
+    : Shared(Clock), Pool(Clock), Seed(Seed), Limits(Limits),
+      Ownership(Ownership) {
   Pool.Behaviour = [this](const TaskKey &Task) {
     const pool::JobSpec &Spec = Jobs.at(Task.Job);
     const StepSpec &Step = Spec.Steps[Task.Step];
@@ -76,8 +78,8 @@
                                   *Daemon.KnownJobs, IntakeLimits());
   Daemon.Owner = std::make_unique<PoolOwner>(
       Daemon.Store, Daemon.Workers, Daemon.Timers, Daemon.Log,
-      *Daemon.KnownJobs, DaemonId("daemon" + std::to_string(Number)),
-      OwnerLimits(), Limits, Seed * 1000 + Number);
+      *Daemon.KnownJobs, DaemonId("daemon" + std::to_string(Number)), Ownership,
+      Limits, Seed * 1000 + Number);
   Daemon.Owner->configure(Configuration);
   Daemon.Owner->setDomainsOutOfService(DomainsOutOfService);
   for (const auto &[Id, Worker] : Directory)
--- a/test/support/PoolSimulation.h
+++ b/test/support/PoolSimulation.h
@@ -42,7 +42,8 @@
   /// Creates \p Racks racks of eight workers each; each rack is also a failure
   /// domain.
   PoolSimulation(std::uint64_t Seed, unsigned Daemons, unsigned Racks,
-                 const pool::PoolLimits &Limits = {});
+                 const pool::PoolLimits &Limits = {},
+                 const pool::OwnerLimits &Ownership = {});
   ~PoolSimulation();
   PoolSimulation(const PoolSimulation &) = delete;
   PoolSimulation &operator=(const PoolSimulation &) = delete;
@@ -87,6 +88,7 @@
 
   std::uint64_t Seed;
   pool::PoolLimits Limits;
+  pool::OwnerLimits Ownership;
   std::vector<std::unique_ptr<PoolDaemon>> Daemons;
   /// Components of killed daemons, kept because calls in flight still refer to
   /// them.
--- a/test/support/VirtualTimers.h
+++ b/test/support/VirtualTimers.h
@@ -20,7 +20,7 @@
 
   TimePoint now() const override { return Clock.now(); }
   WallTime wallNow() const override {
-    return WallTime(Clock.now().time_since_epoch());
+    return WallTime(Clock.now().time_since_epoch()) + WallOffset;
   }
   void schedule(Duration Delay, std::function<void()> Work) override {
     Clock.scheduleAfter(Delay,
@@ -29,6 +29,8 @@
   }
 
   void pauseUntil(TimePoint Until) { PausedUntil = Until; }
+  /// Sets the deviation of the daemon's time of day.
+  void setWallOffset(Duration Offset) { WallOffset = Offset; }
   /// Sets the duration of each piece of work. The daemon runs one at a time;
   /// work that is due in the meantime waits.
   void setWorkDuration(Duration PerItem) { WorkDuration = PerItem; }
@@ -55,6 +57,7 @@
   TimePoint PausedUntil = TimePoint::min();
   TimePoint BusyUntil = TimePoint::min();
   Duration WorkDuration{};
+  Duration WallOffset{};
   std::uint64_t ProcessIncarnation = 0;
 };
 
