Learn the speeds of workers and place work by speed class

Cause: a part of the workers is about 2.2 times as fast as the rest. Urgent gangs were placed by tightest fit alone and missed their objective on common workers, while work with slack held the fast ones.

Change: WorkerSpeeds compares each run without a gang with the other runs of its step and classifies workers as fast, common or slow. Urgent and late steps take the fastest class that holds them whole; steps with slack and jobs that are too late to be of value take the slowest; work that no class holds whole goes on all workers. The urgent reserve prefers fast workers. PoolLimits::LearnSpeeds turns the part off. FakeWorkerPool gains speeds and reports of progress, both off by default.

With equal speeds all placements are the same with and without the part.

Not yet done: failures of jobs against failures of workers, estimated times by class, and a gauge of workers by class.

--- a/src/pool/PoolScheduler.cpp
+++ b/src/pool/PoolScheduler.cpp
@@ -49,6 +49,8 @@
     State.LeavesAt = TimePoint::max();
   else if (State.LeavesAt == TimePoint::max())
     State.LeavesAt = Now + Worker.LeavesIn;
+  if (State.Listed && State.Info.WorkerIncarnation != Worker.WorkerIncarnation)
+    forgetSpeed(State);
   State.Info = Worker;
   State.Listed = true;
   HealthCheckDue = true;
--- a/src/pool/PoolScheduler.h
+++ b/src/pool/PoolScheduler.h
@@ -18,6 +18,7 @@
 #include "pool/TaskPlacer.h"
 #include "pool/UrgentReserve.h"
 #include "pool/WorkerOrders.h"
+#include "pool/WorkerSpeeds.h"
 
 #include <cstdint>
 #include <deque>
@@ -68,6 +69,8 @@
   /// Workers in one request to the adviser: enough for most gangs, while the
   /// response takes longer with each worker.
   std::size_t WorkersPerAdviceRequest = 30;
+  /// Whether the speeds of workers are learned and used for placement.
+  bool LearnSpeeds = true;
   ReserveLimits Reserve;
 };
 
@@ -230,6 +233,7 @@
     /// Whether the last task that finished or failed on the worker has failed.
     bool LastTaskFailed = false;
     SlowdownDetector Slowdown;
+    SpeedClass Speed = SpeedClass::Common;
     BestEffortThrottle Throttle;
     /// Whether the worker is slow or fails the tasks of several jobs; set by
     /// the health check.
@@ -260,6 +264,8 @@
     bool Guaranteed = false;
     /// Time since the job was due.
     Duration WaitTime{};
+    /// Time until LatestStart; negative if it is past.
+    Duration Slack{};
 
     /// Whether the step is kept off risky workers: urgent, and not late.
     bool avoidsRisk() const { return Terms->Priority == 0 && Lateness == 0; }
@@ -431,6 +437,13 @@
   /// Measures the speed of a run and compares it with the run's earlier speed.
   static void sampleSpeed(WorkerState &Worker, PlacedRun &Run,
                           std::uint32_t Percent, TimePoint Now);
+  /// Gives the rate of a run to WorkerSpeeds once enough progress is seen.
+  void measureRate(const WorkerState &Worker, const RunKey &Key,
+                   const StepSpec &Step, PlacedRun &Run, std::uint32_t Percent,
+                   TimePoint Now);
+  void forgetSpeed(WorkerState &Worker);
+  void updateSpeedClasses(TimePoint Now);
+  SpeedPreference speedPreference(const StepCandidate &Candidate) const;
   /// Sets the pace of best-effort tasks on a worker by the worst tail response
   /// time, relative to its target, of the serving tasks there.
   void throttleBestEffort(WorkerState &Worker, std::optional<double> Worst,
@@ -484,6 +497,7 @@
   TimePoint ReserveChosenAt;
   bool HealthCheckDue = true;
   UrgentReserve Reserve;
+  WorkerSpeeds Speeds;
   /// Accelerators demanded and held by urgent work of each workspace in this
   /// pass; only while urgent work waits.
   std::optional<GuaranteeUse> UrgentUse;
--- a/src/pool/PoolSchedulerHealth.cpp
+++ b/src/pool/PoolSchedulerHealth.cpp
@@ -143,6 +143,7 @@
        {&WorkersWithPendingOrders, &BestEffortWorkers,
         &WorkersWithUnrecordedEnds, &ReclaimingWorkers, &Renewals})
     Set->erase(Id);
+  Speeds.forget(Id);
   clearAvailableWorkers();
 }
 
--- a/src/pool/PoolSchedulerPass.cpp
+++ b/src/pool/PoolSchedulerPass.cpp
@@ -116,6 +116,7 @@
   Duration RemainingPath = Owner.RemainingPaths[Step];
   Result.WaitTime = std::max(Duration(), Wall - Due);
   Result.LatestStart = Due + Objective - RemainingPath;
+  Result.Slack = Result.LatestStart - Wall;
   // A long-running step is useful whenever it starts, so it is never late.
   if (Wall > Result.LatestStart && !Result.Step->LongRunning)
     Result.Lateness =
@@ -211,6 +212,7 @@
     PlacementTarget Target;
     Target.Worker = &Worker.Info;
     Target.Free = Available.Free;
+    Target.Speed = Worker.Speed;
     if (Reservation && !Urgent)
       Target.Free = Reservation->usableResources(Worker.Info.Id, Target.Free,
                                                  Candidate.Step->Estimate);
@@ -278,6 +280,7 @@
   if (Candidate.Terms->Priority == 0) {
     Reserve.recordArrival(Candidate.Step->PerTask.Accelerators *
                               static_cast<std::int32_t>(ChosenWorkers.size()),
+                          Candidate.Step->Gang && Candidate.Step->SameRack,
                           Now);
   }
   if (Candidate.Owner->Status == JobStatus::Queued)
@@ -402,6 +405,7 @@
     return false;
   listWaitingGroups(Candidate);
   Request.Count = requestFor(Candidate).Count;
+  Request.Speed = speedPreference(Candidate);
   std::vector<PlacementTarget> Targets =
       placementTargets(Candidate, Request, Now);
   std::vector<std::size_t> ChosenTargets = placeTasks(Request, Targets);
@@ -433,11 +437,11 @@
     const WorkerState &Worker = *Available.Worker;
     Total += Worker.Info.Capacity.Accelerators;
     if (Available.Free.Accelerators > 0)
-      FreeWorkers.push_back(
-          {&Worker.Info, Available.Free.Accelerators, Worker.InReserve});
+      FreeWorkers.push_back({&Worker.Info, Available.Free.Accelerators,
+                             Worker.InReserve, Worker.Speed});
   }
-  std::set<WorkerId> Chosen = UrgentReserve::chooseWorkers(
-      FreeWorkers, Reserve.targetAccelerators(Total, Now));
+  std::int32_t Target = Reserve.targetAccelerators(Total, Now);
+  std::set<WorkerId> Chosen = Reserve.chooseWorkers(FreeWorkers, Target);
   for (auto &[Id, Worker] : Workers)
     Worker.InReserve = Chosen.contains(Id);
 }
@@ -518,6 +522,7 @@
     evacuateCordoned();
     updateSuspects(Now);
     evacuateSlow(Now);
+    updateSpeedClasses(Now);
     clearAvailableWorkers();
   }
   schedule(Now, Wall);
--- a/src/pool/PoolSchedulerReports.cpp
+++ b/src/pool/PoolSchedulerReports.cpp
@@ -79,6 +79,7 @@
   if (Report.Result == OrderResult::OtherIncarnation) {
     // The incarnation that this entry names has ended, and its runs with it.
     leasesExpired(Id);
+    forgetSpeed(Worker);
     return;
   }
   bool Answered = Report.Result == OrderResult::Done;
@@ -92,6 +93,7 @@
   bool Restarted = Worker.HasReported &&
                    Report.WorkerIncarnation != Worker.WorkerIncarnation;
   if (Restarted) {
+    forgetSpeed(Worker);
     Worker.HighestEnd = 0;
     Worker.Acknowledged = 0;
     Worker.UnrecordedEnds.clear();
@@ -157,8 +159,12 @@
   if (WasActive && !End.Checkpoint.empty())
     Ref.Group->Checkpoint = End.Checkpoint;
   auto Run = Worker.Runs.find({End.Task, End.Run});
-  if (Run != Worker.Runs.end())
+  if (Run != Worker.Runs.end()) {
+    if (WasActive && End.Outcome == RunEnd::Done)
+      measureRate(Worker, Run->first, Ref.Owner->Spec.Steps[End.Task.Step],
+                  Run->second, 100, Now);
     removeRun(Worker, Run);
+  }
   if (WasActive) {
     bool LongRunning = Ref.Owner->Spec.Steps[End.Task.Step].LongRunning;
     if (End.Outcome == RunEnd::Done && !LongRunning) {
@@ -239,6 +245,9 @@
   // pace, so it tells nothing about the worker.
   if (!Step || !Step->FillsIdle)
     sampleSpeed(Worker, Run, Reported.Percent, Now);
+  // The work of a run that reports 100 ended at an unknown time before.
+  if (Step && Reported.Percent < 100)
+    measureRate(Worker, Key, *Step, Run, Reported.Percent, Now);
   Run.ProgressPercent = Reported.Percent;
   if (Ref.Group && Ref.Group->Run == Reported.Run &&
       !Reported.Checkpoint.empty())
--- /dev/null
+++ b/src/pool/PoolSchedulerSpeeds.cpp
@@ -0,0 +1,72 @@
+/// \file
+/// Implements how a PoolScheduler measures the speeds of workers and uses them.
+#include "pool/PoolScheduler.h"
+
+#include "base/DecisionLog.h"
+
+#include <utility>
+
+namespace banyanworks::pool {
+
+void PoolScheduler::measureRate(const WorkerState &Worker, const RunKey &Key,
+                                const StepSpec &Step, PlacedRun &Run,
+                                std::uint32_t Percent, TimePoint Now) {
+  // All members of a gang advance at the pace of the slowest. The pace of a
+  // best-effort task depends on idle processor time.
+  if (!Limits.LearnSpeeds || Run.Rated || Run.StopRequested || Percent == 0 ||
+      Step.Gang || Step.FillsIdle || Step.LongRunning)
+    return;
+  if (!Run.RatedFromPercent) {
+    Run.RatedFromPercent = Percent;
+    Run.RatedFrom = Now;
+    return;
+  }
+  if (Percent < *Run.RatedFromPercent + WorkerSpeeds::MeasuredPercent ||
+      Now <= Run.RatedFrom)
+    return;
+  Run.Rated = true;
+  const TaskKey &Task = Key.first;
+  Speeds.addRate(
+      {Task.Job, Task.Occurrence, Task.Step}, Worker.Info.Id,
+      (Percent - *Run.RatedFromPercent) / toSeconds(Now - Run.RatedFrom), Now);
+}
+
+void PoolScheduler::forgetSpeed(WorkerState &Worker) {
+  Speeds.forget(Worker.Info.Id);
+  Worker.Speed = SpeedClass::Common;
+}
+
+void PoolScheduler::updateSpeedClasses(TimePoint Now) {
+  if (!Speeds.refresh(Now))
+    return;
+  for (auto &[Id, Worker] : Workers) {
+    SpeedClass Before = std::exchange(Worker.Speed, Speeds.classOf(Id));
+    if (Worker.Speed == Before)
+      continue;
+    Log.write(LogLevel::Change, "worker.speed_class",
+              {{"worker", Id.str()},
+               {"class", speedClassName(Worker.Speed)},
+               {"before", speedClassName(Before)}});
+  }
+}
+
+SpeedPreference
+PoolScheduler::speedPreference(const StepCandidate &Candidate) const {
+  const StepSpec &Step = *Candidate.Step;
+  if (!Speeds.isUneven() || Step.FillsIdle)
+    return SpeedPreference::None;
+  if (Step.LongRunning)
+    return SpeedPreference::CommonThenFastThenSlow;
+  // The job is of no value any more.
+  if (Candidate.Lateness == 2)
+    return SpeedPreference::SlowThenCommonThenFast;
+  if (Candidate.Terms->Priority == 0 || Candidate.Lateness == 1)
+    return SpeedPreference::FastThenCommonThenSlow;
+  Duration ExtraOnSlow =
+      scaled(Step.Estimate, 1.0 / Speeds.relativeSpeed(SpeedClass::Slow) - 1.0);
+  return Candidate.Slack >= ExtraOnSlow
+             ? SpeedPreference::SlowThenCommonThenFast
+             : SpeedPreference::CommonThenFastThenSlow;
+}
+
+} // namespace banyanworks::pool
--- a/src/pool/RunTable.h
+++ b/src/pool/RunTable.h
@@ -55,6 +55,11 @@
   TimePoint NextPaceAt;
   /// Highest speed measured for the run, in percent of its work per second.
   double BestSpeed = 0.0;
+  /// First sample for WorkerSpeeds; nothing before the run makes progress.
+  std::optional<std::uint32_t> RatedFromPercent;
+  TimePoint RatedFrom;
+  /// The run has given its rate to WorkerSpeeds.
+  bool Rated = false;
 };
 
 using RunKey = std::pair<TaskKey, RunNumber>;
--- a/src/pool/TaskPlacer.cpp
+++ b/src/pool/TaskPlacer.cpp
@@ -3,10 +3,13 @@
 #include "pool/TaskPlacer.h"
 
 #include <algorithm>
+#include <array>
+#include <iterator>
 #include <limits>
 #include <map>
 #include <numeric>
 #include <tuple>
+#include <utility>
 
 namespace banyanworks::pool {
 
@@ -81,6 +84,49 @@
   return fill(Order, Fits, Count);
 }
 
+std::array<SpeedClass, SpeedClasses> classOrder(SpeedPreference Preference) {
+  using enum SpeedClass;
+  switch (Preference) {
+  case SpeedPreference::FastThenCommonThenSlow:
+    return {Fast, Common, Slow};
+  case SpeedPreference::SlowThenCommonThenFast:
+    return {Slow, Common, Fast};
+  case SpeedPreference::None:
+  case SpeedPreference::CommonThenFastThenSlow:
+    break;
+  }
+  return {Common, Fast, Slow};
+}
+
+/// Places tasks on the targets in \p Order, which is sorted by preference.
+Indexes placeInOrder(const PlacementRequest &Request,
+                     const std::vector<PlacementTarget> &Targets,
+                     const std::vector<std::uint32_t> &Fits, Indexes Order) {
+  if (!Request.DataRack.empty()) {
+    std::stable_partition(Order.begin(), Order.end(), [&](std::size_t Target) {
+      return Targets[Target].Worker->Rack == Request.DataRack;
+    });
+  }
+  if (!Request.SameRack || Request.Count == 1)
+    return fill(Order, Fits, Request.Count);
+  auto Racks = groupByRack(Order, Targets, Fits);
+  const RackCapacity *Tightest = nullptr;
+  for (const auto &[Name, Rack] : Racks) {
+    if (Rack.Fits < Request.Count)
+      continue;
+    bool HoldsData = Name.second == Request.DataRack;
+    if (!Tightest || HoldsData || Rack.Fits < Tightest->Fits)
+      Tightest = &Rack;
+    if (HoldsData)
+      break;
+  }
+  if (Tightest)
+    return fill(Tightest->Targets, Fits, Request.Count);
+  if (!Request.MaySpanRacks)
+    return {};
+  return spanFewRacks(Racks, Fits, Request.Count);
+}
+
 } // namespace
 
 std::uint32_t fittingTasks(const PlacementRequest &Request,
@@ -105,39 +151,38 @@
 placeTasks(const PlacementRequest &Request,
            const std::vector<PlacementTarget> &Targets) {
   std::vector<std::uint32_t> Fits(Targets.size());
-  std::uint64_t Total = 0;
+  std::array<std::uint64_t, SpeedClasses> ClassFits{};
   for (std::size_t Target = 0; Target < Targets.size(); ++Target) {
     Fits[Target] = fittingTasks(Request, Targets[Target]);
-    Total += Fits[Target];
+    ClassFits[static_cast<std::size_t>(Targets[Target].Speed)] += Fits[Target];
   }
+  std::uint64_t Total =
+      std::accumulate(ClassFits.begin(), ClassFits.end(), std::uint64_t{0});
   if (Total == 0 || (Request.AllOrNothing && Total < Request.Count))
     return {};
   Indexes Order(Targets.size());
   std::iota(Order.begin(), Order.end(), std::size_t{0});
   sortTightestFirst(Order, Targets);
-  if (!Request.DataRack.empty()) {
-    std::stable_partition(Order.begin(), Order.end(), [&](std::size_t Target) {
-      return Targets[Target].Worker->Rack == Request.DataRack;
-    });
-  }
-  if (!Request.SameRack || Request.Count == 1)
-    return fill(Order, Fits, Request.Count);
-  auto Racks = groupByRack(Order, Targets, Fits);
-  const RackCapacity *Tightest = nullptr;
-  for (const auto &[Name, Rack] : Racks) {
-    if (Rack.Fits < Request.Count)
+  if (Request.Speed == SpeedPreference::None)
+    return placeInOrder(Request, Targets, Fits, std::move(Order));
+  Indexes ByClass;
+  for (SpeedClass Class : classOrder(Request.Speed)) {
+    Indexes OfClass;
+    std::copy_if(
+        Order.begin(), Order.end(), std::back_inserter(OfClass),
+        [&](std::size_t Target) { return Targets[Target].Speed == Class; });
+    ByClass.insert(ByClass.end(), OfClass.begin(), OfClass.end());
+    if (ClassFits[static_cast<std::size_t>(Class)] < Request.Count)
       continue;
-    bool HoldsData = Name.second == Request.DataRack;
-    if (!Tightest || HoldsData || Rack.Fits < Tightest->Fits)
-      Tightest = &Rack;
-    if (HoldsData)
-      break;
+    Indexes Chosen = placeInOrder(Request, Targets, Fits, std::move(OfClass));
+    if (!Chosen.empty())
+      return Chosen;
   }
-  if (Tightest)
-    return fill(Tightest->Targets, Fits, Request.Count);
-  if (!Request.MaySpanRacks)
-    return {};
-  return spanFewRacks(Racks, Fits, Request.Count);
+  std::stable_sort(ByClass.begin(), ByClass.end(),
+                   [&](std::size_t Left, std::size_t Right) {
+                     return Targets[Left].Penalty < Targets[Right].Penalty;
+                   });
+  return placeInOrder(Request, Targets, Fits, std::move(ByClass));
 }
 
 } // namespace banyanworks::pool
--- a/src/pool/TaskPlacer.h
+++ b/src/pool/TaskPlacer.h
@@ -5,6 +5,7 @@
 
 #include "base/Units.h"
 #include "pool/PoolWorker.h"
+#include "pool/SpeedClass.h"
 
 #include <cstdint>
 #include <vector>
@@ -19,6 +20,17 @@
   std::uint32_t StepTasks = 0;
   /// Targets with a higher penalty are used only when all others are full.
   std::uint32_t Penalty = 0;
+  SpeedClass Speed = SpeedClass::Common;
+};
+
+/// The speed class that tasks are placed on if it holds all of them. The other
+/// classes follow in the order that the names state.
+enum class SpeedPreference : std::uint8_t {
+  /// Speeds are ignored.
+  None,
+  FastThenCommonThenSlow,
+  CommonThenFastThenSlow,
+  SlowThenCommonThenFast,
 };
 
 /// A number of identical tasks to place.
@@ -35,6 +47,7 @@
   RackId DataRack;
   /// Limit of tasks of the step on one worker; 0 for no limit.
   std::uint32_t MaxPerWorker = 0;
+  SpeedPreference Speed = SpeedPreference::None;
 };
 
 /// Returns how many tasks of \p Request fit on \p Target, at most
@@ -44,8 +57,9 @@
 
 /// Chooses a target for each task and returns their indices into \p Targets:
 /// fewer than requested if no more fit, and none if an all-or-nothing request
-/// does not fit. Packs tasks onto workers with the least free resources, so
-/// that whole workers and racks stay free for gangs.
+/// does not fit. Tasks that no speed class holds whole are placed on all
+/// classes, the preferred ones first. Packs tasks onto workers with the least
+/// free resources, so that whole workers and racks stay free for gangs.
 std::vector<std::size_t>
 placeTasks(const PlacementRequest &Request,
            const std::vector<PlacementTarget> &Targets);
--- a/src/pool/UrgentReserve.h
+++ b/src/pool/UrgentReserve.h
@@ -5,6 +5,7 @@
 
 #include "base/Time.h"
 #include "pool/PoolWorker.h"
+#include "pool/SpeedClass.h"
 
 #include <cstdint>
 #include <deque>
@@ -36,6 +37,7 @@
   /// Whether the worker was in the reserve before. Such workers are preferred,
   /// since moving the reserve would take resources that a gang waits for.
   bool InReserve = false;
+  SpeedClass Speed = SpeedClass::Common;
 };
 
 /// Sizes and places the reserve by the recent arrivals of urgent work. Without
@@ -46,19 +48,27 @@
 public:
   explicit UrgentReserve(const ReserveLimits &Limits) : Limits(Limits) {}
 
-  /// Counts urgent work that needs \p Accelerators.
-  void recordArrival(std::int32_t Accelerators, TimePoint Now);
+  /// Counts urgent work that needs \p Accelerators; \p PrefersOneRack is true
+  /// for a gang that runs slower if it spans racks.
+  void recordArrival(std::int32_t Accelerators, bool PrefersOneRack,
+                     TimePoint Now);
   /// Returns how many of \p Total accelerators to keep free.
   std::int32_t targetAccelerators(std::int32_t Total, TimePoint Now);
   /// Chooses workers with \p NeededAccelerators free in total, from the racks
-  /// with the most free accelerators first, since gangs prefer one rack.
-  static std::set<WorkerId>
-  chooseWorkers(const std::vector<FreeWorker> &Workers,
-                std::int32_t NeededAccelerators);
+  /// with the most free accelerators first, since gangs prefer one rack. Fast
+  /// workers come before the others in racks whose fast workers have enough
+  /// free accelerators for the recent gangs that prefer one rack.
+  std::set<WorkerId> chooseWorkers(const std::vector<FreeWorker> &Workers,
+                                   std::int32_t NeededAccelerators) const;
 
 private:
   ReserveLimits Limits;
-  std::deque<std::pair<TimePoint, std::int32_t>> Arrivals;
+  struct Arrival {
+    TimePoint At;
+    std::int32_t Accelerators = 0;
+    bool PrefersOneRack = false;
+  };
+  std::deque<Arrival> Arrivals;
   std::int64_t ArrivedAccelerators = 0;
 };
 
--- a/test/support/FakeWorkerPool.cpp
+++ b/test/support/FakeWorkerPool.cpp
@@ -69,6 +69,7 @@
   for (const auto &Entry : State.Runs)
     LostRuns.push_back(Entry.first);
   State.Runs.clear();
+  State.Advancing.clear();
   State.Stopping.clear();
   State.Paces.clear();
   State.Ended.clear();
@@ -126,11 +127,33 @@
   if (Task.GangSize > 0)
     joinGang(Order.Worker, Key, Task);
   else
-    scheduleEnd(Order.Worker, Key, Task.RunTime,
-                Task.Fails ? RunEnd::Failed : RunEnd::Done);
+    advance(Order.Worker, Key,
+            scaled(Task.RunTime, 1.0 / speedOf(Order.Worker)));
   return OrderResult::Done;
 }
 
+void FakeWorkerPool::advance(const WorkerId &Id, const RunKey &Key,
+                             Duration RunTime) {
+  Workers.at(Id).Advancing[Key] = {Clock.now(), RunTime};
+  scheduleEnd(Id, Key, RunTime,
+              Behaviour(Key.first).Fails ? RunEnd::Failed : RunEnd::Done);
+}
+
+double FakeWorkerPool::speedOf(const WorkerId &Id) const {
+  auto Found = Speeds.find(Id);
+  return Found == Speeds.end() ? 1.0 : Found->second;
+}
+
+std::uint32_t FakeWorkerPool::percentOf(const Worker &State,
+                                        const RunKey &Key) const {
+  auto Found = State.Advancing.find(Key);
+  if (!ReportsProgress || Found == State.Advancing.end())
+    return 0;
+  const auto &[StartedAt, RunTime] = Found->second;
+  return static_cast<std::uint32_t>(std::min(
+      100.0, 100.0 * toSeconds(Clock.now() - StartedAt) / toSeconds(RunTime)));
+}
+
 void FakeWorkerPool::extendLease(Worker &State, TimePoint Until) {
   if (State.LeaseUntil < Clock.now())
     State.LeaseExpiredAt = State.LeaseUntil;
@@ -156,12 +179,16 @@
     return;
   }
   Joined.Working = true;
+  double Slowest = speedOf(Id);
+  for (const auto &[Other, State] : Workers) {
+    for (const auto &Entry : State.Runs)
+      if (gangOf(Entry.first) == gangOf(Key))
+        Slowest = std::min(Slowest, speedOf(Other));
+  }
   for (auto &[Other, State] : Workers) {
-    for (const auto &Entry : State.Runs) {
+    for (const auto &Entry : State.Runs)
       if (gangOf(Entry.first) == gangOf(Key))
-        scheduleEnd(Other, Entry.first, Task.RunTime,
-                    Task.Fails ? RunEnd::Failed : RunEnd::Done);
-    }
+        advance(Other, Entry.first, scaled(Task.RunTime, 1.0 / Slowest));
   }
 }
 
@@ -194,6 +221,7 @@
 
 void FakeWorkerPool::endRun(Worker &State, const RunKey &Key, RunEnd Outcome) {
   State.Runs.erase(Key);
+  State.Advancing.erase(Key);
   State.Stopping.erase(Key);
   State.Allocated -= Behaviour(Key.first).Allocated;
   RunNumber &HighestRun = State.HighestEnded[Key.first];
@@ -307,7 +335,8 @@
   Report.Ended = State.Ended;
   for (const auto &Entry : State.Runs) {
     Report.Running.push_back(
-        {Entry.first.first, Entry.first.second, "", 0,
+        {Entry.first.first, Entry.first.second, "",
+         percentOf(State, Entry.first),
          static_cast<std::uint32_t>(toSeconds(tailLatency(Id, Entry.first)) *
                                     1000)});
   }
--- a/test/support/FakeWorkerPool.h
+++ b/test/support/FakeWorkerPool.h
@@ -16,6 +16,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace banyanworks::testing {
@@ -52,6 +53,11 @@
   /// Whether the ticket of an order is valid; if unset, every order is
   /// accepted.
   std::function<bool(const pool::StartOrder &)> AcceptsTicket;
+  /// Speeds relative to the run times of the behaviours; a worker that is not
+  /// listed has speed 1. A gang advances at the pace of its slowest member.
+  std::map<WorkerId, double> Speeds;
+  /// Whether reports state the progress of the runs; without it they state 0%.
+  bool ReportsProgress = false;
 
   void add(const pool::PoolWorker &Info);
   /// Ends the worker process and discards its runs and all its state.
@@ -123,6 +129,8 @@
     std::map<std::uint64_t, TimePoint> EndedAt;
     /// Time at which a lease last expired.
     TimePoint LeaseExpiredAt;
+    /// When each run started to advance, and the time that it needs.
+    std::map<pool::RunKey, std::pair<TimePoint, Duration>> Advancing;
   };
   struct Gang {
     std::set<std::uint32_t> Present;
@@ -133,6 +141,10 @@
   void endRun(Worker &State, const pool::RunKey &Key, pool::RunEnd Outcome);
   void scheduleEnd(const WorkerId &Id, const pool::RunKey &Key, Duration Delay,
                    pool::RunEnd Outcome);
+  /// Lets a run advance for \p RunTime until it ends as its task does.
+  void advance(const WorkerId &Id, const pool::RunKey &Key, Duration RunTime);
+  double speedOf(const WorkerId &Id) const;
+  std::uint32_t percentOf(const Worker &State, const pool::RunKey &Key) const;
   void joinGang(const WorkerId &Id, const pool::RunKey &Key,
                 const TaskBehaviour &Task);
   void breakGang(const pool::RunKey &Key);
