Do not send calls on connections that the server has closed

Cause: a write on a kept-alive connection that the store had closed or reset before was sent all the same. It was lost, and since bytes had been sent it counted as 'may have run' and was not repeated. Stray bytes, such as a late 408, were read as the answer to the next call.

Change: the client looks at an idle connection before it uses it, and takes another one if anything has arrived. A call of which nothing was sent is repeated on a new connection even if it may be sent only once. The reverse fault, a call counted as not sent although bytes had left, was not found.

Test: write_on_a_closed_idle_connection_is_not_lost failed before (the write ended as incomplete) and passes now.

--- a/src/edge/AsyncHttpClient.cpp
+++ b/src/edge/AsyncHttpClient.cpp
@@ -123,9 +123,21 @@
       closeIdle(Connection);
   }
 
+  /// Closes idle connections that the server has closed or reset until one
+  /// remains that can be used. A request sent on them would be lost, and its
+  /// outcome would count as unknown although the server never read it.
+  void closeBrokenIdle(const std::string &Server) {
+    for (auto Found = IdleByServer.find(Server);
+         Found != IdleByServer.end() && !Found->second.back()->quiet();
+         Found = IdleByServer.find(Server))
+      closeIdle(Found->second.back());
+  }
+
   void startTransfer(std::unique_ptr<Transfer> NewTransfer,
                      bool NewConnection) {
     std::string Request = serializeRequest(NewTransfer->Call);
+    if (!NewConnection)
+      closeBrokenIdle(NewTransfer->Call.Address);
     auto Found = IdleByServer.find(NewTransfer->Call.Address);
     HttpConnection *Connection = nullptr;
     NewTransfer->ReusesConnection =
@@ -176,9 +188,10 @@
     else
       Connections.erase(&Connection);
     // The server may have closed an idle connection just when the call was
-    // sent.
+    // sent. A call of which nothing was sent may always be repeated.
+    bool NotSent = Answer.Progress == CallProgress::NotSent;
     bool Resend = !Answer.complete() && EndedTransfer->ReusesConnection &&
-                  !AnswerStarted && !EndedTransfer->Call.SendOnce;
+                  !AnswerStarted && (NotSent || !EndedTransfer->Call.SendOnce);
     if (Resend)
       startTransfer(std::move(EndedTransfer), true);
     else
--- a/src/edge/HttpConnection.cpp
+++ b/src/edge/HttpConnection.cpp
@@ -82,6 +82,12 @@
   ReadingName = false;
 }
 
+bool HttpConnection::quiet() const {
+  char Byte = 0;
+  ssize_t Count = recv(Socket, &Byte, sizeof(Byte), MSG_PEEK | MSG_DONTWAIT);
+  return Count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
 void HttpConnection::send(std::string Request) {
   resetAnswer();
   Busy = true;
--- a/src/edge/HttpConnection.h
+++ b/src/edge/HttpConnection.h
@@ -31,6 +31,9 @@
 
   /// Starts to connect; false if that fails at once.
   bool open();
+  /// True if nothing has arrived on this idle connection: neither the server's
+  /// close nor stray bytes that would be taken for the next answer.
+  bool quiet() const;
   /// Starts an exchange. Its end is reported from the loop, never within this
   /// call.
   void send(std::string Request);
--- a/test/error/http_client_faults.cpp
+++ b/test/error/http_client_faults.cpp
@@ -105,6 +105,30 @@
   cr_assert_eq(Harness.Server.accepted(), 2U);
 }
 
+Test(http_client_faults, write_on_a_closed_idle_connection_is_not_lost) {
+  // A store that restarts closes its connections. The next write was sent on a
+  // closed one, was lost, and was answered as 'may have run'.
+  for (bool StrayBytes : {false, true}) {
+    unsigned Requests = 0;
+    ClientHarness Harness([&Requests, StrayBytes](const std::string &) {
+      std::string Stray = StrayBytes && Requests == 0
+                              ? "HTTP/1.1 408 \r\nContent-Length: 0\r\n\r\n"
+                              : "";
+      ++Requests;
+      return ScriptedReply{Ok + Stray};
+    });
+    HttpCall Call = Harness.call();
+    Call.SendOnce = true;
+    cr_assert(Harness.answerTo(Call).succeeded());
+    if (!StrayBytes)
+      Harness.Loop.schedule(0ms,
+                            [&Harness] { Harness.Server.closeConnections(); });
+    cr_assert(Harness.answerTo(Call).succeeded());
+    cr_assert_eq(Requests, 2U);
+    cr_assert_eq(Harness.Server.accepted(), 2U);
+  }
+}
+
 Test(http_client_faults, call_that_may_leave_once_is_not_repeated) {
   unsigned RequestCount = 0;
   ClientHarness Harness([&RequestCount](const std::string &) {
