End unsure writes of jobs by resends and a refusal marker

Cause: a write without an answer was repeated only after its timeout of 1.2 s. A request whose store returned shortly before the deadline was answered 504 while a call to the silent store was still awaited, and in an outage each request had to time out by itself.

Change: copies of the write are sent each 0.5 s while earlier ones are awaited, all with one condition. In the last 0.5 s they carry a refusal marker, whose success proves that no copy is or will be applied: 503. StoreHealth derives from a daemon's calls whether the store is available; JobIntake then rejects with a retry time before it writes. Detection is not enabled in the daemon yet.

--- a/src/pool/JobIntake.cpp
+++ b/src/pool/JobIntake.cpp
@@ -8,6 +8,7 @@
 #include "pool/JobCache.h"
 #include "pool/JobName.h"
 #include "pool/JobSpecJson.h"
+#include "pool/StoreHealth.h"
 #include "pool/StoreKeys.h"
 #include "state/AsyncStore.h"
 
@@ -25,9 +26,13 @@
   JobId Job;
   Duration RetryAfter{};
   TimePoint Deadline;
+  /// Time from which a refusal marker is sent in place of an uncertain write.
+  TimePoint RefuseAt = TimePoint::max();
+  /// Empty once called.
   SubmitCallback Done;
-  /// True once a write has timed out and may still take effect.
+  /// True once a copy has failed that may still take effect.
   bool Uncertain = false;
+  std::uint32_t CopiesInFlight = 0;
   std::uint32_t Attempts = 0;
 };
 
@@ -40,9 +45,10 @@
 };
 
 JobIntake::JobIntake(AsyncStore &Store, Timers &Clock, DecisionLog &Log,
-                     const JobCache &KnownJobs, const IntakeLimits &Limits)
+                     const JobCache &KnownJobs, const StoreHealth *Health,
+                     const IntakeLimits &Limits)
     : Store(Store), Clock(Clock), Log(Log), KnownJobs(KnownJobs),
-      Limits(Limits) {}
+      Health(Health), Limits(Limits) {}
 
 std::optional<Duration>
 JobIntake::estimateAdmissionDelay(const JobSpec &Spec) const {
@@ -75,42 +81,117 @@
     Write->Value = encodeJobSpec(Spec);
   }
   Write->Job = Spec.Id;
-  Write->Deadline = Deadline - Limits.ReplyMargin;
   Write->Done = std::move(Done);
+  unlessUnavailable(
+      Spec.Id,
+      [this, Write, Deadline] {
+        startCreate(Write, Deadline, Write->Value != RefusalMarker);
+      },
+      [this, Write](Duration RetryAfter) {
+        Write->RetryAfter = RetryAfter;
+        finishCreate(*Write, Reason::StoreUnavailable, StoreRevision());
+      });
+}
+
+void JobIntake::unlessUnavailable(
+    JobId Id, std::function<void()> Work,
+    std::function<void(Duration RetryAfter)> Reject) {
+  if (!Health || Health->available(Clock.now())) {
+    Work();
+    return;
+  }
+  // After a pause of the process, answers may wait unread in the sockets. They
+  // are received before the next iteration of the event loop.
+  Clock.schedule(Duration::zero(), [this, Id, Work = std::move(Work),
+                                    Reject = std::move(Reject)] {
+    if (Health->available(Clock.now()))
+      Work();
+    else
+      Reject(Health->retryAfter(Clock.now(), Id.value()));
+  });
+}
+
+void JobIntake::startCreate(const std::shared_ptr<PendingCreate> &Write,
+                            TimePoint Deadline, bool Refusable) {
+  Write->Deadline =
+      std::max(Deadline - Limits.ReplyMargin, Clock.now() + Limits.RetryDelay);
+  Duration TimeLeft = Write->Deadline - Clock.now();
+  if (Refusable)
+    Write->RefuseAt =
+        Write->Deadline - std::min(Limits.RefusalTime, TimeLeft / 2);
   create(Write);
 }
 
 void JobIntake::create(const std::shared_ptr<PendingCreate> &Write) {
+  TimePoint Now = Clock.now();
+  // Only a write that may have taken effect is superseded.
+  bool Refuses =
+      Now >= Write->RefuseAt && (Write->Uncertain || Write->CopiesInFlight > 0);
   Transaction Changes;
   Changes.Conditions.push_back({Write->Key, Write->ReplacedVersion});
-  Changes.Puts.push_back({Write->Key, Write->Value, StoreLeaseId()});
+  Changes.Puts.push_back({Write->Key,
+                          Refuses ? std::string(RefusalMarker) : Write->Value,
+                          StoreLeaseId()});
   ++Write->Attempts;
-  Duration TimeLeft = Write->Deadline - Clock.now();
-  Store.commit(
-      Changes,
-      std::clamp<Duration>(TimeLeft, Limits.RetryDelay, Limits.CallTimeout),
-      [this, Write](const TransactionResult &Result) {
-        createAnswered(Write, Result);
-      });
+  ++Write->CopiesInFlight;
+  Store.commit(Changes,
+               std::clamp<Duration>(Write->Deadline - Now, Limits.RetryDelay,
+                                    Limits.CallTimeout),
+               [this, Write, Version = Write->ReplacedVersion,
+                Refuses](const TransactionResult &Result) {
+                 createAnswered(Write, Version, Refuses, Result);
+               });
+  Duration Interval =
+      Now >= Write->RefuseAt ? Limits.RefusalInterval : Limits.ResendInterval;
+  if (Now < Write->RefuseAt && Now + Interval > Write->RefuseAt)
+    Interval = Write->RefuseAt - Now;
+  scheduleCopy(Write, Interval);
+}
+
+void JobIntake::scheduleCopy(const std::shared_ptr<PendingCreate> &Write,
+                             Duration Delay) {
+  if (Clock.now() + Delay >= Write->Deadline)
+    return;
+  Clock.schedule(Delay, [this, Write, Attempt = Write->Attempts] {
+    if (Write->Done && Attempt == Write->Attempts)
+      create(Write);
+  });
+}
+
+void JobIntake::finishCreate(PendingCreate &Write, Reason Outcome,
+                             StoreRevision Version) {
+  Log.write(Outcome == Reason::None ? LogLevel::Routine : LogLevel::Notice,
+            "record.create",
+            {{"key", Write.Key},
+             {"job", jobName(Write.Job)},
+             {"outcome", reasonInfo(Outcome).Name},
+             {"revision", Version.value()},
+             {"retry_after_ms", Write.RetryAfter.count() / 1000},
+             {"tries", Write.Attempts}});
+  std::exchange(Write.Done, nullptr)(Outcome, Write.RetryAfter);
 }
 
 void JobIntake::createAnswered(const std::shared_ptr<PendingCreate> &Write,
+                               StoreRevision ReplacedVersion, bool RefusalSent,
                                const TransactionResult &Result) {
-  auto Finish = [&](Reason Outcome) {
-    Log.write(Outcome == Reason::None ? LogLevel::Routine : LogLevel::Notice,
-              "record.create",
-              {{"key", Write->Key},
-               {"job", jobName(Write->Job)},
-               {"outcome", reasonInfo(Outcome).Name},
-               {"revision", Result.Version.value()},
-               {"retry_after_ms", Write->RetryAfter.count() / 1000},
-               {"tries", Write->Attempts}});
-    Write->Done(Outcome, Write->RetryAfter);
+  --Write->CopiesInFlight;
+  if (!Write->Done)
+    return;
+  auto RejectUnavailable = [&] {
+    if (Health)
+      Write->RetryAfter = Health->retryAfter(Clock.now(), Write->Job.value());
+    finishCreate(*Write, Reason::StoreUnavailable, Result.Version);
   };
   switch (Result.Status) {
   case CallStatus::Done:
-    Finish(Write->Value == RefusalMarker ? Reason::DeadlineUnreachable
-                                         : Reason::None);
+    if (RefusalSent) {
+      RejectUnavailable();
+    } else {
+      finishCreate(*Write,
+                   Write->Value == RefusalMarker ? Reason::DeadlineUnreachable
+                                                 : Reason::None,
+                   Result.Version);
+    }
     return;
   case CallStatus::Rejected: {
     auto Found = std::find_if(Result.Current.begin(), Result.Current.end(),
@@ -118,68 +199,76 @@
                                 return Entry.Key == Write->Key &&
                                        Entry.Version != StoreRevision();
                               });
-    if (Found == Result.Current.end() &&
-        Write->ReplacedVersion != StoreRevision()) {
-      // The refusal marker was removed in the meantime.
-      Write->ReplacedVersion = StoreRevision();
-      create(Write);
+    if (Found == Result.Current.end() && ReplacedVersion != StoreRevision()) {
+      // The refusal marker was removed in the meantime; other copies may have
+      // shown it already.
+      if (Write->ReplacedVersion == ReplacedVersion) {
+        Write->ReplacedVersion = StoreRevision();
+        create(Write);
+      }
       return;
     }
-    // The key exists: the job was accepted earlier, or another daemon rejected
-    // it.
+    // The key exists: the job was accepted earlier, or it was rejected by
+    // another daemon or by an earlier copy of this refusal marker.
     if (Found != Result.Current.end() && Found->Value == RefusalMarker) {
       Write->RetryAfter = std::max(Write->RetryAfter, Limits.MinRetryAfter);
-      Finish(Reason::DeadlineUnreachable);
+      finishCreate(*Write, Reason::DeadlineUnreachable, Result.Version);
       return;
     }
     Write->RetryAfter = Duration::zero();
-    Finish(Reason::None);
+    finishCreate(*Write, Reason::None, Result.Version);
     return;
   }
   case CallStatus::NotApplied:
-    if (Write->Uncertain)
-      break;
-    Finish(Reason::StoreUnavailable);
-    return;
+    break;
   case CallStatus::Unknown:
     Write->Uncertain = true;
     break;
   }
-  if (Clock.now() + Limits.RetryDelay >= Write->Deadline) {
-    Finish(Reason::OutcomeUnknown);
+  if (Write->CopiesInFlight > 0)
+    return;
+  if (!Write->Uncertain) {
+    RejectUnavailable();
     return;
   }
-  Clock.schedule(Limits.RetryDelay, [this, Write] { create(Write); });
+  if (Clock.now() + Limits.RetryDelay >= Write->Deadline)
+    finishCreate(*Write, Reason::OutcomeUnknown, Result.Version);
+  else
+    scheduleCopy(Write, Limits.RetryDelay);
 }
 
 void JobIntake::cancel(JobId Id, TimePoint Deadline, Callback Done) {
   const JobCache::Entry *KnownJob = KnownJobs.findJob(Id);
-  if (KnownJob && KnownJob->Spec) {
-    if (isFinal(KnownJob->visibleStatus())) {
-      Done(Reason::None);
-      return;
-    }
-    writeCancel(Id, Deadline, std::move(Done));
+  if (KnownJob && KnownJob->Spec && isFinal(KnownJob->visibleStatus())) {
+    Done(Reason::None);
     return;
   }
-  lookUpInStore(Id,
-                [this, Id, Deadline, Done = std::move(Done)](Reason Outcome) {
-                  if (Outcome != Reason::None)
-                    Done(Outcome);
-                  else
-                    writeCancel(Id, Deadline, Done);
-                });
+  bool MustLookUp = !KnownJob || !KnownJob->Spec;
+  auto Write = [this, Id, Deadline, MustLookUp, Done] {
+    if (!MustLookUp) {
+      writeCancel(Id, Deadline, Done);
+      return;
+    }
+    lookUpInStore(Id, [this, Id, Deadline, Done](Reason Outcome) {
+      if (Outcome != Reason::None)
+        Done(Outcome);
+      else
+        writeCancel(Id, Deadline, Done);
+    });
+  };
+  unlessUnavailable(Id, Write, [Done = std::move(Done)](Duration) {
+    Done(Reason::StoreUnavailable);
+  });
 }
 
 void JobIntake::writeCancel(JobId Id, TimePoint Deadline, Callback Done) {
   auto Write = std::make_shared<PendingCreate>();
   Write->Key = std::string(CancelPrefix) + jobName(Id);
   Write->Job = Id;
-  Write->Deadline = Deadline - Limits.ReplyMargin;
   Write->Done = [Done = std::move(Done)](Reason Outcome, Duration) {
     Done(Outcome);
   };
-  create(Write);
+  startCreate(Write, Deadline, /*Refusable=*/false);
 }
 
 void JobIntake::status(JobId Id, StatusCallback Done) {
--- a/src/pool/JobIntake.h
+++ b/src/pool/JobIntake.h
@@ -8,6 +8,7 @@
 #include "base/Time.h"
 #include "pool/JobSpec.h"
 #include "pool/JobStatus.h"
+#include "state/Store.h"
 
 #include <cstdint>
 #include <functional>
@@ -24,14 +25,28 @@
 namespace banyanworks::pool {
 
 class JobCache;
+class StoreHealth;
 
 /// Timeouts and limits of a JobIntake.
 struct IntakeLimits {
   /// Timeout of one write to the store; exceeds the slowest response of a slow
   /// store.
   Duration CallTimeout = std::chrono::milliseconds(1200);
-  /// Delay before a write without an answer is repeated.
+  /// Delay before a write that may have taken effect is repeated after it has
+  /// failed, and the minimum time for one write.
   Duration RetryDelay = std::chrono::milliseconds(50);
+  /// Time after which a write without an answer is sent again while the first
+  /// copy is still awaited; above the response time of a slow store (0.4 s),
+  /// so that such a store gets no additional load.
+  Duration ResendInterval = std::chrono::milliseconds(500);
+  /// Part of the caller's deadline, before ReplyMargin, in which a write with
+  /// an unknown outcome is superseded by a refusal marker; longer than the
+  /// response time of a slow store.
+  Duration RefusalTime = std::chrono::milliseconds(500);
+  /// Interval at which the refusal marker is sent again while it is
+  /// unanswered, so that a store that returns shortly before the deadline
+  /// still answers.
+  Duration RefusalInterval = std::chrono::milliseconds(100);
   /// Part of the caller's deadline that is reserved for returning the reply.
   Duration ReplyMargin = std::chrono::milliseconds(150);
   /// Delay before the status is read from the store. Callers tend to ask just
@@ -53,9 +68,16 @@
   Duration MaxWatchAge = std::chrono::milliseconds(1500);
 };
 
-/// Accepts, reports and cancels jobs. Reason::None means success. If a write
-/// may still take effect, the job is answered with Reason::OutcomeUnknown,
-/// never with a rejection.
+/// Accepts, reports and cancels jobs. Reason::None means success.
+///
+/// While the store is known to be unavailable, requests that need a write are
+/// rejected with Reason::StoreUnavailable before anything is written. A write
+/// that was sent and not answered is sent again until its outcome is known.
+/// Each copy has the same condition, so that at most one takes effect, and a
+/// copy that is rejected shows what the key holds. Shortly before the caller's
+/// deadline a job's write is superseded by a refusal marker, whose success
+/// proves that no copy was or will be applied. If a write may still take effect
+/// at the deadline, the answer is Reason::OutcomeUnknown, never a rejection.
 class JobIntake {
 public:
   using Callback = std::function<void(Reason)>;
@@ -63,8 +85,10 @@
   /// Reason::StoreUnavailable.
   using StatusCallback = std::function<void(Reason, JobStatus)>;
 
+  /// \p Health describes \p Store; null if outages are not detected.
   JobIntake(AsyncStore &Store, Timers &Clock, DecisionLog &Log,
-            const JobCache &KnownJobs, const IntakeLimits &Limits);
+            const JobCache &KnownJobs, const StoreHealth *Health,
+            const IntakeLimits &Limits);
 
   /// Receives the outcome and, for a rejected job, the delay after which the
   /// caller may retry; zero for no restriction.
@@ -92,9 +116,22 @@
   /// Returns the retry delay if the job should be rejected under the current
   /// load, otherwise nullopt.
   std::optional<Duration> estimateAdmissionDelay(const JobSpec &Spec) const;
+  /// Runs \p Work, or \p Reject with a retry time if the store is unavailable.
+  void unlessUnavailable(JobId Id, std::function<void()> Work,
+                         std::function<void(Duration RetryAfter)> Reject);
+  /// Starts the creation of the key of \p Write. If it is \p Refusable, it is
+  /// superseded by a refusal marker when its outcome stays unknown.
+  void startCreate(const std::shared_ptr<PendingCreate> &Write,
+                   TimePoint Deadline, bool Refusable);
+  /// Sends one copy of the write, and further ones while it is unanswered.
   void create(const std::shared_ptr<PendingCreate> &Write);
+  void scheduleCopy(const std::shared_ptr<PendingCreate> &Write,
+                    Duration Delay);
   void createAnswered(const std::shared_ptr<PendingCreate> &Write,
+                      StoreRevision ReplacedVersion, bool RefusalSent,
                       const TransactionResult &Result);
+  void finishCreate(PendingCreate &Write, Reason Outcome,
+                    StoreRevision Version);
   void writeCancel(JobId Id, TimePoint Deadline, Callback Done);
   void readStatus(const std::shared_ptr<StatusRequest> &Request);
   void answerStatus(StatusRequest &Request);
@@ -105,6 +142,7 @@
   Timers &Clock;
   DecisionLog &Log;
   const JobCache &KnownJobs;
+  const StoreHealth *Health;
   IntakeLimits Limits;
   std::uint32_t StatusReadsInFlight = 0;
 };
--- a/test/support/PoolSimulation.cpp
+++ b/test/support/PoolSimulation.cpp
@@ -69,13 +69,14 @@
   PoolDaemon &Daemon = *Daemons[Number];
   WatchTiming Timing;
   Timing.BatchDelay = 20ms;
-  Daemon.KnownJobs = std::make_unique<JobCache>(Daemon.Store, Daemon.Timers,
-                                                Daemon.Log, Timing);
-  Daemon.Intake =
-      std::make_unique<JobIntake>(Daemon.Store, Daemon.Timers, Daemon.Log,
-                                  *Daemon.KnownJobs, IntakeLimits());
+  Daemon.KnownJobs = std::make_unique<JobCache>(
+      Daemon.CheckedStore, Daemon.Timers, Daemon.Log, Timing);
+  Daemon.Health = StoreHealth();
+  Daemon.Intake = std::make_unique<JobIntake>(
+      Daemon.CheckedStore, Daemon.Timers, Daemon.Log, *Daemon.KnownJobs,
+      DetectsOutages ? &Daemon.Health : nullptr, IntakeLimits());
   Daemon.Owner = std::make_unique<PoolOwner>(
-      Daemon.Store, Daemon.Workers, Daemon.Timers, Daemon.Log,
+      Daemon.CheckedStore, Daemon.Workers, Daemon.Timers, Daemon.Log,
       *Daemon.KnownJobs, DaemonId("daemon" + std::to_string(Number)),
       OwnerLimits(), Limits, Seed * 1000 + Number);
   Daemon.Owner->configure(Configuration);
--- a/test/support/PoolSimulation.h
+++ b/test/support/PoolSimulation.h
@@ -6,7 +6,9 @@
 
 #include "pool/JobCache.h"
 #include "pool/JobIntake.h"
+#include "pool/ObservedStore.h"
 #include "pool/PoolOwner.h"
+#include "pool/StoreHealth.h"
 #include "support/FakeWorkerPool.h"
 #include "support/RecordingLog.h"
 #include "support/TransactionStore.h"
@@ -25,6 +27,8 @@
   VirtualTimers Timers;
   RecordingLog Log;
   StoreSession Store;
+  pool::StoreHealth Health;
+  pool::ObservedStore CheckedStore;
   WorkerSession Workers;
   std::unique_ptr<pool::JobCache> KnownJobs;
   std::unique_ptr<pool::JobIntake> Intake;
@@ -33,6 +37,7 @@
   PoolDaemon(VirtualClock &Clock, TransactionStore &Shared,
              FakeWorkerPool &Pool, std::uint64_t Seed)
       : Timers(Clock), Log(Clock), Store(Shared, Timers, Seed),
+        CheckedStore(Store, Timers, Health),
         Workers(Pool, Clock, Timers, Seed + 1) {}
 };
 
@@ -77,6 +82,11 @@
   void listWorker(const WorkerId &Id, bool Draining = false);
 
   pool::PoolConfiguration Configuration;
+  /// Whether the entries of daemons that start from now on reject submissions
+  /// in a known store outage. Off by default: the check of the seeded fault
+  /// runs counts such a rejection as broken if a repeated submission of the job
+  /// is accepted by another entry at the same time.
+  bool DetectsOutages = false;
   /// Retry delay of the last response to a caller, by job.
   std::map<JobId, Duration> RetryAfter;
 
--- a/test/support/TransactionStore.cpp
+++ b/test/support/TransactionStore.cpp
@@ -154,6 +154,10 @@
     Timers.schedule(Faults.Latency, [Failed, Done] { Done(Failed); });
     return;
   }
+  if (Faults.ResetsConnections) {
+    Timers.schedule(Faults.Latency, [Failed, Done] { Done(Failed); });
+    return;
+  }
   if (Faults.Unresponsive) {
     Timers.schedule(Timeout, [Failed, Done] { Done(Failed); });
     return;
@@ -199,7 +203,8 @@
                                  const std::function<void(WatchResult)> &Done) {
   bool Ready = Store.hasEvents(Request.Prefix, Request.AfterRevision) ||
                Timers.now() >= Until;
-  if (Ready || Faults.Unresponsive || Faults.RefusesCalls) {
+  if (Ready || Faults.Unresponsive || Faults.RefusesCalls ||
+      Faults.ResetsConnections) {
     performCall<WatchResult>(
         false, CallTimeout,
         [this, Request] {
--- a/test/support/TransactionStore.h
+++ b/test/support/TransactionStore.h
@@ -66,6 +66,9 @@
 struct StoreFaults {
   /// No call reaches the store, and none is answered.
   bool Unresponsive = false;
+  /// Calls end as unknown after a round trip without effect, as with a store
+  /// that resets its connections.
+  bool ResetsConnections = false;
   /// Calls are rejected immediately without effect.
   bool RefusesCalls = false;
   /// Fraction of writes that take effect without an answer.
