Notice stalled watches by the owner's own commits

Cause: a store that drops its history delivers nothing to the watches for about a second, and then cuts them. The owner saw 60 jobs 1.9 s late.

Change: after a commit under the watched prefix the owner's watch expects its revision within 200 ms. If it is not reported, the watch asks without a wait time beside the waiting call, and lists if that reports nothing or the history is gone. At most one such call is made in 200 ms, and none while one is unanswered, so that a slow store is not asked faster than it answers.

--- a/src/pool/PoolOwnerPass.cpp
+++ b/src/pool/PoolOwnerPass.cpp
@@ -181,6 +181,11 @@
   }
   Head = Version;
   CommitInFlight = false;
+  if (std::any_of(Write->Changes.Puts.begin(), Write->Changes.Puts.end(),
+                  [](const Transaction::Put &Put) {
+                    return Put.Key.starts_with(SharedPrefix);
+                  }))
+    KnownJobs.watch().expectRevision(Version);
   Scheduler->committed(Write->Jobs, Clock.now());
   Log.write(LogLevel::Routine, "owner.recorded",
             {{"revision", Version.value()},
--- a/src/pool/StoreWatch.cpp
+++ b/src/pool/StoreWatch.cpp
@@ -6,11 +6,19 @@
 #include "base/Timers.h"
 #include "state/AsyncStore.h"
 
+#include <algorithm>
 #include <set>
 #include <utility>
 
 namespace banyanworks::pool {
 
+namespace {
+
+/// An owner makes at most some ten commits within WatchTiming::MaxLag.
+constexpr std::size_t MaxUnreported = 64;
+
+} // namespace
+
 StoreWatch::StoreWatch(AsyncStore &Store, Timers &Clock, DecisionLog &Log,
                        std::string Prefix, WatchTiming Timing,
                        Listener OnChange)
@@ -22,6 +30,7 @@
 void StoreWatch::stop() {
   ++Generation;
   Complete = false;
+  ListInFlight = false;
 }
 
 void StoreWatch::refresh(std::function<void()> Callback) {
@@ -36,9 +45,12 @@
 
 void StoreWatch::list() {
   std::uint64_t CallGeneration = ++Generation;
-  Store.list(Prefix, [this, CallGeneration](const ListResult &Result) {
+  ListInFlight = true;
+  StoreRevision Covered = Expected;
+  Store.list(Prefix, [this, CallGeneration, Covered](const ListResult &Result) {
     if (CallGeneration != Generation)
       return;
+    ListInFlight = false;
     if (Result.Status != CallStatus::Done) {
       callFailed();
       Clock.schedule(Timing.RetryDelay, [this, CallGeneration] {
@@ -62,6 +74,8 @@
     for (const StoreEntry &Entry : Result.Entries)
       apply(Entry);
     Revision = Result.AtRevision;
+    // The list was requested after these revisions were written.
+    Reported = std::max({Reported, Revision, Covered});
     ConfirmedAt = Clock.now();
     Complete = true;
     for (auto &Callback : std::exchange(RefreshCallbacks, {}))
@@ -77,45 +91,129 @@
   // its timeout. Calls without a wait time detect the return of the store
   // sooner.
   Duration Wait = Reachable ? Timing.MaxWait : Duration::zero();
-  Store.watch({Prefix, Revision, Wait}, [this, CallGeneration](
-                                            const WatchResult &Result) {
-    if (CallGeneration != Generation)
-      return;
-    auto WatchAgain = [this, CallGeneration] {
-      if (CallGeneration == Generation)
-        watch();
-    };
-    if (Result.Status != CallStatus::Done) {
-      callFailed();
-      Clock.schedule(Timing.RetryDelay, WatchAgain);
-      return;
-    }
-    if (Result.Changes.Compacted) {
-      Log.write(LogLevel::Notice, "store.watch.compacted",
-                {{"prefix", Prefix}, {"revision", Revision.value()}});
-      list();
-      return;
-    }
-    if (!std::exchange(Reachable, true))
-      Log.write(LogLevel::Change, "store.watch.regained",
-                {{"prefix", Prefix}, {"revision", Result.AtRevision.value()}});
-    for (const StoreEvent &Event : Result.Changes.Events) {
-      if (Event.Entry)
-        apply(*Event.Entry);
-      else
-        remove(Event.Key);
-    }
-    Revision = std::max(Revision, Result.AtRevision);
-    ConfirmedAt = Clock.now();
-    if (CallGeneration != Generation)
-      return;
-    if (Result.Changes.Events.empty())
+  Store.watch({Prefix, Revision, Wait},
+              [this, CallGeneration](const WatchResult &Result) {
+                if (CallGeneration == Generation)
+                  watchAnswered(Result);
+              });
+}
+
+void StoreWatch::watchAnswered(const WatchResult &Result) {
+  std::uint64_t CallGeneration = Generation;
+  auto WatchAgain = [this, CallGeneration] {
+    if (CallGeneration == Generation)
       watch();
+  };
+  if (Result.Status != CallStatus::Done) {
+    callFailed();
+    Clock.schedule(Timing.RetryDelay, WatchAgain);
+    return;
+  }
+  if (!Result.Changes.Compacted && !std::exchange(Reachable, true))
+    Log.write(LogLevel::Change, "store.watch.regained",
+              {{"prefix", Prefix}, {"revision", Result.AtRevision.value()}});
+  if (Result.Changes.Compacted || !applyChanges(Result)) {
+    Log.write(LogLevel::Notice, "store.watch.compacted",
+              {{"prefix", Prefix}, {"revision", Revision.value()}});
+    list();
+    return;
+  }
+  if (CallGeneration != Generation)
+    return;
+  if (Result.Changes.Events.empty())
+    watch();
+  else
+    Clock.schedule(Timing.BatchDelay, WatchAgain);
+}
+
+bool StoreWatch::applyChanges(const WatchResult &Result) {
+  for (const StoreEvent &Event : Result.Changes.Events)
+    Reported = std::max(Reported, Event.Revision);
+  if (Reported < Expected && Result.AtRevision >= Expected)
+    return false;
+  AskedInVain = AskedInVain && Result.Changes.Events.empty();
+  // Another call may have reported later changes in the meantime.
+  StoreRevision Known = Revision;
+  Revision = std::max(Revision, Result.AtRevision);
+  ConfirmedAt = Clock.now();
+  for (const StoreEvent &Event : Result.Changes.Events) {
+    if (Event.Revision <= Known)
+      continue;
+    if (Event.Entry)
+      apply(*Event.Entry);
     else
-      Clock.schedule(Timing.BatchDelay, WatchAgain);
+      remove(Event.Key);
+  }
+  return true;
+}
+
+void StoreWatch::expectRevision(StoreRevision Written) {
+  if (Reported >= Written)
+    return;
+  Expected = std::max(Expected, Written);
+  // The oldest revisions decide when the watch is stalled.
+  if (Unreported.size() < MaxUnreported)
+    Unreported.emplace_back(Written, Clock.now());
+  scheduleLagCheck();
+}
+
+void StoreWatch::scheduleLagCheck() {
+  while (!Unreported.empty() && Unreported.front().first <= Reported)
+    Unreported.pop_front();
+  if (Unreported.empty() || std::exchange(LagCheckScheduled, true))
+    return;
+  TimePoint Due =
+      std::max(Unreported.front().second, LastLagCall) + Timing.MaxLag;
+  Clock.schedule(std::max(Due - Clock.now(), Duration::zero()), [this] {
+    LagCheckScheduled = false;
+    checkLag();
+    scheduleLagCheck();
   });
 }
 
+void StoreWatch::checkLag() {
+  TimePoint Now = Clock.now();
+  auto Lagging =
+      std::find_if(Unreported.begin(), Unreported.end(),
+                   [this](const auto &Item) { return Item.first > Reported; });
+  if (Lagging == Unreported.end() || Now - Lagging->second < Timing.MaxLag)
+    return;
+  LastLagCall = Now;
+  // While the store is lost, the watch asks without a wait time already.
+  if (!Complete || !Reachable || ListInFlight || AskInFlight)
+    return;
+  Log.write(LogLevel::Notice, "store.watch.stalled",
+            {{"prefix", Prefix},
+             {"revision", Revision.value()},
+             {"expected", Lagging->first.value()},
+             {"action", AskedInVain ? "list" : "ask"}});
+  if (AskedInVain)
+    list();
+  else
+    askForChanges();
+}
+
+void StoreWatch::askForChanges() {
+  AskInFlight = true;
+  std::uint64_t CallGeneration = Generation;
+  Store.watch({Prefix, Revision, Duration::zero()},
+              [this, CallGeneration](const WatchResult &Result) {
+                AskInFlight = false;
+                // A failure of the store is detected by the call that waits.
+                if (CallGeneration != Generation ||
+                    Result.Status != CallStatus::Done)
+                  return;
+                bool Reports = Result.AtRevision > Revision;
+                if (!Reports && !Result.Changes.Compacted) {
+                  AskedInVain = Reported < Expected;
+                  return;
+                }
+                // The call that waits is stalled; it is replaced.
+                ++Generation;
+                watchAnswered(Result);
+              });
+}
+
 void StoreWatch::apply(const StoreEntry &Entry) {
   StoreRevision &Version = KnownVersions[Entry.Key];
   if (Entry.Version <= Version)
--- a/src/pool/StoreWatch.h
+++ b/src/pool/StoreWatch.h
@@ -7,15 +7,18 @@
 #include "state/Store.h"
 
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace banyanworks {
 class AsyncStore;
 class DecisionLog;
 class Timers;
+struct WatchResult;
 } // namespace banyanworks
 
 namespace banyanworks::pool {
@@ -30,6 +33,9 @@
   Duration BatchDelay{};
   /// Delay after a failed call.
   Duration RetryDelay = std::chrono::milliseconds(150);
+  /// Time within which an expected revision must be reported; several round
+  /// trips. It is also the minimum interval between the calls that check it.
+  Duration MaxLag = std::chrono::milliseconds(200);
 };
 
 /// Lists the prefix, then watches it; lists again if the store has compacted
@@ -51,6 +57,15 @@
   /// Lists the prefix again; \p Callback is called once the changes from a
   /// list requested after this call have been reported.
   void refresh(std::function<void()> Callback);
+  /// Tells the watch that a key under its prefix was written at \p Expected. If
+  /// that revision is not reported within WatchTiming::MaxLag, the watch asks
+  /// the store again without a wait time, and lists if that does not report it
+  /// either. At most one such call is made in each MaxLag.
+  ///
+  /// The load that it addresses: a store that drops its history delivers
+  /// nothing to the watches for about a second while changes are made, and then
+  /// cuts them. The owner saw 60 jobs 1.9 s late.
+  void expectRevision(StoreRevision Expected);
   /// Time at which the view was last known to be current; TimePoint::min()
   /// before the first response.
   TimePoint confirmedAt() const { return ConfirmedAt; }
@@ -61,6 +76,16 @@
 private:
   void list();
   void watch();
+  void watchAnswered(const WatchResult &Result);
+  /// Reports the changes of an answer that are new. Returns false if the answer
+  /// lacks a change that is known to have been made.
+  bool applyChanges(const WatchResult &Result);
+  /// Checks, when the oldest expected revision is MaxLag old, whether it has
+  /// been reported.
+  void scheduleLagCheck();
+  void checkLag();
+  /// Asks for changes without a wait time, beside the call that waits.
+  void askForChanges();
   void callFailed();
   void apply(const StoreEntry &Entry);
   void remove(const std::string &Key);
@@ -76,6 +101,22 @@
   TimePoint ConfirmedAt = TimePoint::min();
   bool Complete = false;
   bool Reachable = true;
+  /// The highest revision passed to expectRevision().
+  StoreRevision Expected;
+  /// Expected revisions that have not been reported, and when they were
+  /// expected; bounded.
+  std::deque<std::pair<StoreRevision, TimePoint>> Unreported;
+  TimePoint LastLagCall = TimePoint::min();
+  /// The highest revision of a change that was reported, or of a list.
+  StoreRevision Reported;
+  bool LagCheckScheduled = false;
+  /// A list, or a call without a wait time, is unanswered. A slow store must
+  /// not be asked again before it has answered.
+  bool ListInFlight = false;
+  bool AskInFlight = false;
+  /// The store was asked and did not report the expected revision; until the
+  /// watch reports changes again, it is listed without being asked.
+  bool AskedInVain = false;
   /// Incremented by each list and stop; responses to calls of an earlier
   /// generation are dropped.
   std::uint64_t Generation = 0;
--- a/test/support/TransactionStore.cpp
+++ b/test/support/TransactionStore.cpp
@@ -196,11 +196,26 @@
 
 void StoreSession::watch(const WatchRequest &Request,
                          std::function<void(WatchResult)> Done) {
+  bool Stalled = Timers.now() < Faults.WatchesStalledUntil;
+  if (Stalled && Faults.StallsAllWatches &&
+      Request.MaxWait == Duration::zero()) {
+    WatchResult Empty;
+    Empty.Status = CallStatus::Done;
+    Empty.AtRevision = Request.AfterRevision;
+    Timers.schedule(Faults.Latency * 2, [Empty, Done] { Done(Empty); });
+    return;
+  }
   waitForEvents(Request, Timers.now() + Request.MaxWait, Done);
 }
 
 void StoreSession::waitForEvents(const WatchRequest &Request, TimePoint Until,
                                  const std::function<void(WatchResult)> &Done) {
+  if (Request.MaxWait > Duration::zero() &&
+      Timers.now() < Faults.WatchesStalledUntil) {
+    Timers.schedule(Faults.WatchesStalledUntil - Timers.now(),
+                    [Done] { Done(WatchResult()); });
+    return;
+  }
   bool Ready = Store.hasEvents(Request.Prefix, Request.AfterRevision) ||
                Timers.now() >= Until;
   if (Ready || Faults.Unresponsive || Faults.RefusesCalls ||
--- a/test/support/TransactionStore.h
+++ b/test/support/TransactionStore.h
@@ -75,6 +75,11 @@
   double LostAnswerRate = 0.0;
   /// Delay after which such writes take effect.
   Duration LostWriteDelay{};
+  /// Watches with a wait time receive nothing until this time, and are then
+  /// cut, as when the store drops its history.
+  TimePoint WatchesStalledUntil = TimePoint::min();
+  /// Watches without a wait time receive nothing during that time either.
+  bool StallsAllWatches = false;
   Duration Latency = std::chrono::milliseconds(2);
 };
 
