--- a/src/pool/PoolOwnerPass.cpp
+++ b/src/pool/PoolOwnerPass.cpp
@@ -196,6 +196,11 @@
   }
   Head = Version;
   CommitInFlight = false;
+  if (std::any_of(Write->Changes.Puts.begin(), Write->Changes.Puts.end(),
+                  [](const Transaction::Put &Put) {
+                    return Put.Key.starts_with(SharedPrefix);
+                  }))
+    KnownJobs.watch().expectRevision(Version);
   Scheduler->committed(Write->Jobs, Clock.now());
   if (Write->WritesBounds)
     leaseBoundsCommitted(Clock.now());
--- a/test/support/TransactionStore.cpp
+++ b/test/support/TransactionStore.cpp
@@ -154,6 +154,10 @@
     Timers.schedule(Faults.Latency, [Failed, Done] { Done(Failed); });
     return;
   }
+  if (Faults.ResetsConnections) {
+    Timers.schedule(Faults.Latency, [Failed, Done] { Done(Failed); });
+    return;
+  }
   if (Faults.Unresponsive) {
     Timers.schedule(Timeout, [Failed, Done] { Done(Failed); });
     return;
@@ -192,14 +196,30 @@
 
 void StoreSession::watch(const WatchRequest &Request,
                          std::function<void(WatchResult)> Done) {
+  bool Stalled = Timers.now() < Faults.WatchesStalledUntil;
+  if (Stalled && Faults.StallsAllWatches &&
+      Request.MaxWait == Duration::zero()) {
+    WatchResult Empty;
+    Empty.Status = CallStatus::Done;
+    Empty.AtRevision = Request.AfterRevision;
+    Timers.schedule(Faults.Latency * 2, [Empty, Done] { Done(Empty); });
+    return;
+  }
   waitForEvents(Request, Timers.now() + Request.MaxWait, Done);
 }
 
 void StoreSession::waitForEvents(const WatchRequest &Request, TimePoint Until,
                                  const std::function<void(WatchResult)> &Done) {
+  if (Request.MaxWait > Duration::zero() &&
+      Timers.now() < Faults.WatchesStalledUntil) {
+    Timers.schedule(Faults.WatchesStalledUntil - Timers.now(),
+                    [Done] { Done(WatchResult()); });
+    return;
+  }
   bool Ready = Store.hasEvents(Request.Prefix, Request.AfterRevision) ||
                Timers.now() >= Until;
-  if (Ready || Faults.Unresponsive || Faults.RefusesCalls) {
+  if (Ready || Faults.Unresponsive || Faults.RefusesCalls ||
+      Faults.ResetsConnections) {
     performCall<WatchResult>(
         false, CallTimeout,
         [this, Request] {
--- a/test/support/TransactionStore.h
+++ b/test/support/TransactionStore.h
@@ -66,12 +66,20 @@
 struct StoreFaults {
   /// No call reaches the store, and none is answered.
   bool Unresponsive = false;
+  /// Calls end as unknown after a round trip without effect, as with a store
+  /// that resets its connections.
+  bool ResetsConnections = false;
   /// Calls are rejected immediately without effect.
   bool RefusesCalls = false;
   /// Fraction of writes that take effect without an answer.
   double LostAnswerRate = 0.0;
   /// Delay after which such writes take effect.
   Duration LostWriteDelay{};
+  /// Watches with a wait time receive nothing until this time, and are then
+  /// cut, as when the store drops its history.
+  TimePoint WatchesStalledUntil = TimePoint::min();
+  /// Watches without a wait time receive nothing during that time either.
+  bool StallsAllWatches = false;
   Duration Latency = std::chrono::milliseconds(2);
 };
 
