Limit the starts of a workspace to its cap

Cause: workers start whatever they are told to start, and the scheduler counted the resources of workers only. A workspace could fill the pool whatever cap its tenant has in the configuration.

Change: the configuration carries cap and weight of each tenant; a malformed one is logged and the last valid one kept. WorkspaceUsage counts every run from its planning until it is known to have ended, and tryPlace() starts no more tasks than fit into the cap: steps without a gang in waves, gangs whole. A candidate at its cap gets no reservation, reclaims nothing, asks no adviser and adds no entry to the requests known to fail. Planned runs that exceed a cap lowered since are dropped before their order is sent. Nothing is placed before the owner knows a configuration. A gang that never fits is rejected with exceeds_workspace_cap and a refusal marker.

--- a/src/base/Reason.cpp
+++ b/src/base/Reason.cpp
@@ -74,6 +74,8 @@
                "The job asks for more than its kind declares."},
     ReasonInfo{QuotaExceeded, "quota_exceeded", 429, NotRun, true,
                "The quota of the workspace is spent."},
+    ReasonInfo{ExceedsWorkspaceCap, "exceeds_workspace_cap", 429, NotRun, false,
+               "A gang of the job is larger than its workspace's cap."},
     ReasonInfo{WaitsForCapacity, "waits_for_capacity", 202, NotRun, true,
                "The job waits for free capacity."},
     ReasonInfo{WaitsForAdjacency, "waits_for_adjacency", 202, NotRun, true,
--- a/src/base/Reason.h
+++ b/src/base/Reason.h
@@ -49,6 +49,7 @@
   NeverFits,
   ExceedsDeclaration,
   QuotaExceeded,
+  ExceedsWorkspaceCap,
   WaitsForCapacity,
   WaitsForAdjacency,
   WaitsForGuarantee,
--- a/src/bench/PoolFaultBench.cpp
+++ b/src/bench/PoolFaultBench.cpp
@@ -31,6 +31,8 @@
     Command.add_option("--threads", Threads, "Number of parallel runs");
     Command.add_flag("--slow-daemons", SlowDaemons,
                      "Also slow daemons down, by a factor of up to 100");
+    Command.add_flag("--caps", Caps,
+                     "Also give workspaces caps that change, and check them");
     Command.add_option(
         "--trace", TracePath,
         "Write the logs of the daemons to this file; intended for "
@@ -43,6 +45,8 @@
       TraceFile.open(TracePath);
     auto Faults = SlowDaemons ? testing::PoolFaults::WithSlowDaemons
                               : testing::PoolFaults::Base;
+    if (Caps)
+      Faults = testing::PoolFaults::WithCaps;
     std::atomic<std::uint64_t> NextSeed = FirstSeed;
     std::mutex Mutex;
     std::uint64_t FailedRuns = 0;
@@ -78,6 +82,7 @@
   std::uint64_t Runs = 100;
   unsigned Threads = 2;
   bool SlowDaemons = false;
+  bool Caps = false;
   std::string TracePath;
 };
 
--- a/src/pool/JobIntake.cpp
+++ b/src/pool/JobIntake.cpp
@@ -23,6 +23,9 @@
   /// rejected before.
   StoreRevision ReplacedVersion;
   JobId Job;
+  /// The reason of a rejection. Only load makes a later attempt succeed, so
+  /// another reason has no retry delay.
+  Reason Refusal = Reason::DeadlineUnreachable;
   Duration RetryAfter{};
   TimePoint Deadline;
   SubmitCallback Done;
@@ -55,7 +58,7 @@
   return pool::admissionDelay(Spec, Service->second);
 }
 
-void JobIntake::submit(const JobSpec &Spec, TimePoint Deadline,
+void JobIntake::submit(const JobSpec &Spec, TimePoint Deadline, Reason Refusal,
                        SubmitCallback Done) {
   if (const JobCache::Entry *KnownJob = KnownJobs.findJob(Spec.Id);
       KnownJob && KnownJob->Spec) {
@@ -68,7 +71,10 @@
   auto Write = std::make_shared<PendingCreate>();
   Write->Key = std::string(JobPrefix) + jobName(Spec.Id);
   Write->ReplacedVersion = KnownJobs.refusalRevision(Spec.Id);
-  if (auto Delay = estimateAdmissionDelay(Spec)) {
+  if (Refusal != Reason::None) {
+    Write->Value = RefusalMarker;
+    Write->Refusal = Refusal;
+  } else if (auto Delay = estimateAdmissionDelay(Spec)) {
     Write->Value = RefusalMarker;
     Write->RetryAfter = *Delay;
   } else {
@@ -109,8 +115,7 @@
   };
   switch (Result.Status) {
   case CallStatus::Done:
-    Finish(Write->Value == RefusalMarker ? Reason::DeadlineUnreachable
-                                         : Reason::None);
+    Finish(Write->Value == RefusalMarker ? Write->Refusal : Reason::None);
     return;
   case CallStatus::Rejected: {
     auto Found = std::find_if(Result.Current.begin(), Result.Current.end(),
@@ -128,8 +133,9 @@
     // The key exists: the job was accepted earlier, or another daemon rejected
     // it.
     if (Found != Result.Current.end() && Found->Value == RefusalMarker) {
-      Write->RetryAfter = std::max(Write->RetryAfter, Limits.MinRetryAfter);
-      Finish(Reason::DeadlineUnreachable);
+      if (Write->Refusal == Reason::DeadlineUnreachable)
+        Write->RetryAfter = std::max(Write->RetryAfter, Limits.MinRetryAfter);
+      Finish(Write->Refusal);
       return;
     }
     Write->RetryAfter = Duration::zero();
--- a/src/pool/JobIntake.h
+++ b/src/pool/JobIntake.h
@@ -13,6 +13,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <utility>
 
 namespace banyanworks {
 class AsyncStore;
@@ -74,7 +75,13 @@
   /// Reason::DeadlineUnreachable if it cannot end in time. A rejected job
   /// never runs from this attempt or an earlier one. \p Deadline is the
   /// deadline of the caller's request.
-  void submit(const JobSpec &Spec, TimePoint Deadline, SubmitCallback Done);
+  void submit(const JobSpec &Spec, TimePoint Deadline, SubmitCallback Done) {
+    submit(Spec, Deadline, Reason::None, std::move(Done));
+  }
+  /// Rejects the job with \p Refusal unless that is Reason::None or the job is
+  /// already accepted.
+  void submit(const JobSpec &Spec, TimePoint Deadline, Reason Refusal,
+              SubmitCallback Done);
   /// Cancels a job. A job that has ended already counts as success; an unknown
   /// one is answered with Reason::UnknownJob.
   void cancel(JobId Id, TimePoint Deadline, Callback Done);
--- a/src/pool/PoolConfiguration.cpp
+++ b/src/pool/PoolConfiguration.cpp
@@ -23,4 +23,15 @@
   return nullptr;
 }
 
+void PoolConfiguration::keepLastValidLimits(const PoolConfiguration &Previous) {
+  auto Keep = [](const std::set<WorkspaceId> &Malformed, const auto &LastValid,
+                 auto &Current) {
+    for (const WorkspaceId &Workspace : Malformed)
+      if (auto Found = LastValid.find(Workspace); Found != LastValid.end())
+        Current[Workspace] = Found->second;
+  };
+  Keep(MalformedCaps, Previous.Caps, Caps);
+  Keep(MalformedWeights, Previous.Weights, Weights);
+}
+
 } // namespace banyanworks::pool
--- a/src/pool/PoolOwner.cpp
+++ b/src/pool/PoolOwner.cpp
@@ -154,7 +154,8 @@
 void PoolOwner::restoreJobs(const std::vector<StoreEntry> &Records) {
   Scheduler = std::make_unique<PoolScheduler>(Scheduling, Log);
   Scheduler->observe(Observer);
-  Scheduler->configure(Configuration);
+  if (Configuration)
+    Scheduler->configure(*Configuration);
   Scheduler->setDomainsOutOfService(DomainsOutOfService);
   for (const auto &Entry : Directory)
     Scheduler->updateWorker(Entry.second, Clock.now());
--- a/src/pool/PoolOwner.h
+++ b/src/pool/PoolOwner.h
@@ -14,6 +14,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -205,7 +206,8 @@
   TimePoint TookOverAt;
   TimePoint RenewedAt;
   std::unique_ptr<PoolScheduler> Scheduler;
-  PoolConfiguration Configuration;
+  /// Empty until the first configuration is received.
+  std::optional<PoolConfiguration> Configuration;
   std::set<DomainId> DomainsOutOfService;
   std::map<WorkerId, PoolWorker> Directory;
   std::unordered_map<WorkerId, Renewal> Renewals;
--- a/src/pool/PoolScheduler.cpp
+++ b/src/pool/PoolScheduler.cpp
@@ -14,7 +14,8 @@
 namespace banyanworks::pool {
 
 PoolScheduler::PoolScheduler(const PoolLimits &Limits, DecisionLog &Log)
-    : Limits(Limits), Log(Log), Reserve(Limits.Reserve) {}
+    : Limits(Limits), Log(Log), Usage(Limits.CapOverage),
+      Reserve(Limits.Reserve) {}
 
 bool canRun(const PoolWorker &Worker, const ServiceId &Service,
             const StepSpec &Step) {
@@ -27,6 +28,8 @@
 
 void PoolScheduler::configure(const PoolConfiguration &NewConfiguration) {
   Configuration = NewConfiguration;
+  Configured = true;
+  Usage.setCaps(Configuration.Caps);
   for (auto &[Id, Updated] : Jobs)
     Updated.Terms = &currentTerms(Updated.Spec);
 }
@@ -114,14 +117,12 @@
       TaskKey Task = Group.task(Spec.Id, Member);
       WorkerState &Worker = Workers[Group.Workers[Member]];
       Worker.Info.Id = Group.Workers[Member];
-      PlacedRun Run;
-      Run.Allocated = Spec.Steps[Group.Step].allocatedResources();
+      PlacedRun Run = runOfStep(Added, Spec.Steps[Group.Step]);
       Run.Phase = RunPhase::Inherited;
       if (Spec.Steps[Group.Step].FillsIdle)
         Run.ConfirmedPacePercent.reset();
       Run.OrderedAt = Now;
-      allocateResources(Worker, Run.Allocated);
-      Worker.Runs.emplace(RunKey(Task, Group.Run), Run);
+      addRun(Worker, RunKey(Task, Group.Run), Run);
       if (Spec.Steps[Group.Step].FillsIdle)
         BestEffortWorkers.insert(Worker.Info.Id);
       ++Group.LiveRuns;
@@ -246,6 +247,7 @@
 
 void PoolScheduler::removeRun(WorkerState &Worker, RunTable::iterator Run) {
   releaseResources(Worker, Run->second.Allocated);
+  Usage.removeRun(Run->second.Workspace, Run->second.Charged);
   Renewals.insert(Worker.Info.Id);
   TaskKey Task = Run->first.first;
   Worker.Runs.erase(Run);
--- a/src/pool/PoolScheduler.h
+++ b/src/pool/PoolScheduler.h
@@ -18,6 +18,7 @@
 #include "pool/TaskPlacer.h"
 #include "pool/UrgentReserve.h"
 #include "pool/WorkerOrders.h"
+#include "pool/WorkspaceUsage.h"
 
 #include <cstdint>
 #include <deque>
@@ -68,6 +69,8 @@
   /// Workers in one request to the adviser: enough for most gangs, while the
   /// response takes longer with each worker.
   std::size_t WorkersPerAdviceRequest = 30;
+  /// Fraction of a workspace's cap by which a start may exceed it.
+  double CapOverage = 0.0;
   ReserveLimits Reserve;
 };
 
@@ -177,6 +180,10 @@
   bool fenced() const { return Fenced; }
   /// Computes the accepted work that waits and runs.
   PoolLoad load(TimePoint Now);
+  /// Resources that the runs of a workspace hold, as counted against its cap.
+  Resources held(const WorkspaceId &Workspace) const {
+    return Usage.held(Workspace);
+  }
   /// Number of jobs that are neither final nor started.
   std::size_t waitingJobs() const;
 
@@ -333,6 +340,11 @@
   void abortAll(Job &Owner, std::string_view Reason);
   /// Aborts the groups of the tasks.
   void abortTasks(const std::vector<TaskKey> &Tasks, std::string_view Reason);
+  /// Returns a run of a task of the step, with the resources that it holds.
+  static PlacedRun runOfStep(const Job &Owner, const StepSpec &Step);
+  /// Adds a run to the worker's run table and allocates its resources.
+  RunTable::iterator addRun(WorkerState &Worker, const RunKey &Key,
+                            const PlacedRun &Run);
   /// Removes a run that has ended and frees its resources.
   void removeRun(WorkerState &Worker, RunTable::iterator Run);
   void processEnd(WorkerState &Worker, const ReportedEnd &End, TimePoint Now);
@@ -402,6 +414,22 @@
   /// Chooses the workers of the urgent reserve again.
   void updateReserve(TimePoint Now);
   bool tryPlace(StepCandidate &Candidate, TimePoint Now, bool MaySpanRacks);
+  /// Returns how many of \p Count tasks of the candidate may start within the
+  /// cap of its workspace.
+  std::uint32_t startableTasks(const StepCandidate &Candidate,
+                               std::uint32_t Count) const;
+  /// Returns startableTasks(), less what the workspace will start on workers
+  /// that are being cleared for its other jobs.
+  std::uint32_t reclaimableTasks(const StepCandidate &Candidate,
+                                 std::uint32_t Count) const;
+  /// Whether the candidate waits because its workspace is at its cap.
+  bool isAtCap(const StepCandidate &Candidate) const;
+  /// Whether a planned group may still be started under the newest cap.
+  bool mayOrderUnderCap(const Job &Owner, const TaskGroup &Group) const;
+  /// Ends the reservation of the workers that are being cleared for a job.
+  void releaseReclaimed(JobId Id);
+  /// Logs the jobs that have begun to wait at their workspace's cap.
+  void logJobsAtCap(std::set<JobId> AtCap);
   void schedule(TimePoint Now, WallTime Wall);
   ReclaimOffer reclaimOffer(const WorkerState &Worker,
                             const StepCandidate &Candidate, TimePoint Now);
@@ -457,6 +485,9 @@
   DecisionLog &Log;
   SpanObserver Observer;
   PoolConfiguration Configuration;
+  /// Nothing is placed before the first configuration is known, since it may
+  /// have caps.
+  bool Configured = false;
   std::set<DomainId> DomainsOutOfService;
   std::set<WorkerId> CordonedWorkers;
   std::set<WorkerId> EvacuatingWorkers;
@@ -473,6 +504,12 @@
   std::set<WorkerId> WorkersWithUnrecordedEnds;
   /// Workers that are being cleared for an urgent job.
   std::set<WorkerId> ReclaimingWorkers;
+  /// Resources that urgent jobs will hold on the workers that are being cleared
+  /// for them.
+  std::map<JobId, Resources> ReclaimedDemands;
+  WorkspaceUsage Usage;
+  /// Jobs that waited at their workspace's cap in the last pass.
+  std::set<JobId> JobsAtCap;
   std::set<WorkerId> Renewals;
   /// Workers that accept tasks; rebuilt after each health check, and empty
   /// until then.
--- a/src/pool/PoolSchedulerOrders.cpp
+++ b/src/pool/PoolSchedulerOrders.cpp
@@ -31,6 +31,10 @@
         // rest in the next pass.
         break;
       }
+      if (!mayOrderUnderCap(*Ref.Owner, *Ref.Group)) {
+        abort(*Ref.Owner, *Ref.Group, "workspace_at_cap");
+        break;
+      }
       std::string Ticket;
       if (Ref.Owner->Terms->Advice) {
         const std::string *CachedTicket = Advice.ticket(
--- a/src/pool/PoolSchedulerPass.cpp
+++ b/src/pool/PoolSchedulerPass.cpp
@@ -252,12 +252,10 @@
          ++Member, ++NextWorker) {
       TaskKey Task = Group->task(Candidate.Owner->Spec.Id, Member);
       WorkerState &Worker = Workers.at(ChosenWorkers[NextWorker]);
-      PlacedRun Run;
-      Run.Allocated = Candidate.Step->allocatedResources();
+      PlacedRun Run = runOfStep(*Candidate.Owner, *Candidate.Step);
       Run.PlannedVersion = Candidate.Owner->Version;
       Run.OrderedAt = Now;
-      allocateResources(Worker, Run.Allocated);
-      Worker.Runs.emplace(RunKey(Task, Group->Run), Run);
+      addRun(Worker, RunKey(Task, Group->Run), Run);
       WorkersWithPendingOrders.insert(ChosenWorkers[NextWorker]);
       Renewals.insert(ChosenWorkers[NextWorker]);
       if (Candidate.Step->FillsIdle)
@@ -394,6 +392,10 @@
 bool PoolScheduler::tryPlace(StepCandidate &Candidate, TimePoint Now,
                              bool MaySpanRacks) {
   const StepSpec &Step = *Candidate.Step;
+  // A candidate at its cap leaves no entry among the requests known to fail,
+  // since it fails for no lack of resources.
+  if (isAtCap(Candidate))
+    return false;
   PlacementRequest Request = requestFor(Candidate);
   Request.MaySpanRacks = MaySpanRacks;
   // The adviser's permission differs between steps with equal requests.
@@ -401,7 +403,7 @@
       knownToFail(FailedPlacements, Request, Candidate))
     return false;
   listWaitingGroups(Candidate);
-  Request.Count = requestFor(Candidate).Count;
+  Request.Count = startableTasks(Candidate, requestFor(Candidate).Count);
   std::vector<PlacementTarget> Targets =
       placementTargets(Candidate, Request, Now);
   std::vector<std::size_t> ChosenTargets = placeTasks(Request, Targets);
@@ -443,6 +445,8 @@
 }
 
 void PoolScheduler::schedule(TimePoint Now, WallTime Wall) {
+  if (!Configured)
+    return;
   std::set<JobId> Reclaiming;
   std::erase_if(ReclaimingWorkers, [&](const WorkerId &Id) {
     const WorkerState &Worker = Workers.at(Id);
@@ -451,6 +455,9 @@
       Reclaiming.insert(Worker.ReclaimedFor);
     return Expired;
   });
+  std::erase_if(ReclaimedDemands, [&Reclaiming](const auto &Entry) {
+    return !Reclaiming.contains(Entry.first);
+  });
   FailedPlacements.clear();
   FailedReclaims.clear();
   PendingAdvice.reset();
@@ -459,6 +466,7 @@
     listAvailableWorkers();
   std::optional<GangReservation> LastReservation =
       std::exchange(Reservation, std::nullopt);
+  std::set<JobId> AtCap;
   bool ReserveUpdated = false;
   for (StepCandidate &Candidate : candidates(Wall)) {
     bool Urgent = Candidate.Terms->Priority == 0;
@@ -469,6 +477,12 @@
       updateReserve(Now);
     bool PrefersOneRack = Candidate.Step->Gang && Candidate.Step->SameRack;
     bool Placed = tryPlace(Candidate, Now, !PrefersOneRack);
+    // Nothing is kept or stopped for a candidate that may not start.
+    if (!Placed && isAtCap(Candidate)) {
+      AtCap.insert(Candidate.Owner->Spec.Id);
+      releaseReclaimed(Candidate.Owner->Spec.Id);
+      continue;
+    }
     // tryPlace() does not list the groups of a request that is known to fail.
     if (!Placed && Candidate.Groups.empty() &&
         (Urgent || Candidate.Terms->Advice))
@@ -483,13 +497,8 @@
     }
     if (Candidate.Terms->Advice && !Candidate.Groups.empty() && !PendingAdvice)
       prepareAdviceRequest(Candidate, Now);
-    if (Placed && Candidate.Groups.empty() && Reclaiming.contains(Id)) {
-      for (const WorkerId &Other : ReclaimingWorkers) {
-        WorkerState &Worker = Workers.at(Other);
-        if (Worker.ReclaimedFor == Id)
-          Worker.ReclaimedUntil = TimePoint();
-      }
-    }
+    if (Placed && Candidate.Groups.empty() && Reclaiming.contains(Id))
+      releaseReclaimed(Id);
     // Without a reservation, small tasks would take the resources that a gang
     // waits for. A job that is too late to be of use gets no reservation.
     if (Placed || Urgent || Reservation || !Candidate.Step->Gang ||
@@ -501,6 +510,7 @@
     else
       reserveForGang(Candidate, Now);
   }
+  logJobsAtCap(std::move(AtCap));
 }
 
 PoolOrders PoolScheduler::runPass(TimePoint Now, WallTime Wall) {
--- a/src/pool/PoolSchedulerReclaim.cpp
+++ b/src/pool/PoolSchedulerReclaim.cpp
@@ -132,6 +132,9 @@
   // Resources are reclaimed for all waiting tasks at once, even if they start
   // one by one.
   Request.AllOrNothing = true;
+  Request.Count = reclaimableTasks(Candidate, Request.Count);
+  if (Request.Count == 0)
+    return false;
   if (!Candidate.Terms->Advice &&
       knownToFail(FailedReclaims, Request, Candidate))
     return false;
@@ -141,10 +144,7 @@
     std::uint32_t Tasks;
   };
   std::map<RackId, std::vector<Unit>> Racks;
-  std::uint32_t Count =
-      Candidate.Step->Gang
-          ? Candidate.Step->Tasks
-          : static_cast<std::uint32_t>(Candidate.Groups.size());
+  std::uint32_t Count = Request.Count;
   for (const auto &[Id, Worker] : Workers) {
     if (!eligible(Worker, Candidate, Now))
       continue;
@@ -187,6 +187,8 @@
       FailedReclaims.push_back(failedRequest(Request, Candidate));
     return false;
   }
+  ReclaimedDemands[Candidate.Owner->Spec.Id] =
+      Candidate.Step->PerTask * static_cast<std::int32_t>(Count);
   std::map<WorkerId, std::uint32_t> Tasks;
   for (std::uint32_t Index = 0; Index < Count; ++Index)
     ++Tasks[(*Best)[Index].Worker];
--- a/src/pool/PoolSchedulerReports.cpp
+++ b/src/pool/PoolSchedulerReports.cpp
@@ -211,14 +211,13 @@
   if (Found == Worker.Runs.end()) {
     // A start order that was given up has been executed.
     PlacedRun Stray;
-    Stray.Allocated =
-        Ref.Group
-            ? Ref.Owner->Spec.Steps[Reported.Task.Step].allocatedResources()
-            : Worker.Info.Capacity;
+    if (Ref.Group)
+      Stray = runOfStep(*Ref.Owner, Ref.Owner->Spec.Steps[Reported.Task.Step]);
+    else
+      Stray.Allocated = Worker.Info.Capacity;
     Stray.StopRequested = true;
-    allocateResources(Worker, Stray.Allocated);
     WorkersWithPendingOrders.insert(Worker.Info.Id);
-    Found = Worker.Runs.emplace(Key, Stray).first;
+    Found = addRun(Worker, Key, Stray);
     if (Ref.Group) {
       ++Ref.Group->LiveRuns;
       ++Ref.Owner->LiveRuns;
--- a/src/pool/RunTable.h
+++ b/src/pool/RunTable.h
@@ -4,6 +4,7 @@
 #ifndef BANYANWORKS_POOL_RUNTABLE_H
 #define BANYANWORKS_POOL_RUNTABLE_H
 
+#include "base/Ids.h"
 #include "base/Time.h"
 #include "base/Units.h"
 #include "pool/TaskKey.h"
@@ -31,6 +32,10 @@
 /// One run of one task on a worker.
 struct PlacedRun {
   Resources Allocated;
+  /// The workspace whose cap the run counts against, and what it counts there;
+  /// empty for a run of an unknown job.
+  WorkspaceId Workspace;
+  Resources Charged;
   RunPhase Phase = RunPhase::Planned;
   /// Version of the job that has to be recorded before the first order.
   std::uint64_t PlannedVersion = 0;
--- a/test/error/pool_seeded_runs.cpp
+++ b/test/error/pool_seeded_runs.cpp
@@ -4,6 +4,8 @@
 /// faults.
 #include "support/PoolFaultRun.h"
 
+#include <sstream>
+
 #include <criterion/criterion.h>
 
 using namespace banyanworks::testing;
@@ -35,6 +37,24 @@
   expectNoViolations(PoolFaults::WithSlowDaemons);
 }
 
+/// No start exceeds the newest cap of its workspace, also after takeovers, with
+/// unreachable workers and while daemons have different configurations.
+Test(pool_seeded_runs, changing_caps_are_never_exceeded) {
+  expectNoViolations(PoolFaults::WithCaps);
+}
+
+/// Caps that bind nothing change no decision.
+Test(pool_seeded_runs, wide_caps_change_no_decision) {
+  for (std::uint64_t Seed = 1; Seed <= 20; ++Seed) {
+    std::ostringstream Without;
+    std::ostringstream With;
+    runPoolFaults(Seed, PoolFaults::Base, &Without);
+    runPoolFaults(Seed, PoolFaults::WithWideCaps, &With);
+    cr_assert(Without.str() == With.str(), "seed %lu",
+              static_cast<unsigned long>(Seed));
+  }
+}
+
 /// A worker crashed and restarted under its id, undetected (349) or between
 /// two renewals (2407); a renewal then acknowledged ends of the new
 /// incarnation that no daemon had received.
--- a/test/support/FakeWorkerPool.cpp
+++ b/test/support/FakeWorkerPool.cpp
@@ -40,6 +40,14 @@
   return Sum;
 }
 
+void FakeWorkerPool::visitRunning(
+    const std::function<void(const TaskKey &)> &Visit) const {
+  for (const auto &[Id, State] : Workers)
+    if (State.Up)
+      for (const auto &Entry : State.Runs)
+        Visit(Entry.first.first);
+}
+
 std::size_t FakeWorkerPool::startsIn(const DomainId &Domain,
                                      TimePoint StartTime) const {
   return static_cast<std::size_t>(std::count_if(
@@ -87,7 +95,7 @@
 }
 
 OrderResult FakeWorkerPool::start(const StartOrder &Order, Epoch Token,
-                                  TimePoint LeaseUntil) {
+                                  TimePoint LeaseUntil, TimePoint SentAt) {
   Worker &State = Workers.at(Order.Worker);
   if (!State.Up)
     return OrderResult::NoAnswer;
@@ -122,6 +130,8 @@
   ++Starts;
   FirstStarts.emplace(Order.Task.Job, Clock.now());
   StartTimes.emplace_back(Clock.now(), State.Info.Domain);
+  if (Started)
+    Started(Order.Task, SentAt);
   scheduleLeaseExpiry(Order.Worker);
   if (Task.GangSize > 0)
     joinGang(Order.Worker, Key, Task);
@@ -354,8 +364,8 @@
   TimePoint Until = grant(Worker.Id);
   sendOrder(
       Worker.Id,
-      [this, Order, Until, Token = Token] {
-        return Pool.start(Order, Token, Until);
+      [this, Order, Until, Token = Token, SentAt = Clock.now()] {
+        return Pool.start(Order, Token, Until, SentAt);
       },
       Done);
 }
--- a/test/support/FakeWorkerPool.h
+++ b/test/support/FakeWorkerPool.h
@@ -52,6 +52,9 @@
   /// Whether the ticket of an order is valid; if unset, every order is
   /// accepted.
   std::function<bool(const pool::StartOrder &)> AcceptsTicket;
+  /// Called after each start of a task, with the time at which its order was
+  /// sent; may be unset.
+  std::function<void(const pool::TaskKey &, TimePoint SentAt)> Started;
 
   void add(const pool::PoolWorker &Info);
   /// Ends the worker process and discards its runs and all its state.
@@ -68,7 +71,7 @@
   std::vector<WorkerId> ids() const;
 
   pool::OrderResult start(const pool::StartOrder &Order, Epoch Token,
-                          TimePoint LeaseUntil);
+                          TimePoint LeaseUntil, TimePoint SentAt);
   pool::OrderResult stop(const pool::StopOrder &Order, Epoch Token);
   pool::OrderResult pace(const pool::PaceOrder &Order, Epoch Token);
   pool::WorkerReport renew(const WorkerId &Id, Epoch Token,
@@ -100,6 +103,9 @@
   }
   /// Number of running tasks on all workers that are up.
   std::size_t running() const;
+  /// Visits the running tasks on all workers that are up.
+  void
+  visitRunning(const std::function<void(const pool::TaskKey &)> &Visit) const;
   /// Number of starts on workers of a failure domain since a time.
   std::size_t startsIn(const DomainId &Domain, TimePoint StartTime) const;
 
--- a/test/support/PoolFaultRun.cpp
+++ b/test/support/PoolFaultRun.cpp
@@ -2,6 +2,7 @@
 /// Implements a seeded run of a PoolSimulation under faults.
 #include "support/PoolFaultRun.h"
 
+#include "support/CapCheck.h"
 #include "support/PoolSimulation.h"
 
 #include "base/Random.h"
@@ -26,12 +27,24 @@
 /// Simulated time after the last fault; the longest wait is for a worker that
 /// no daemon can reach.
 constexpr Duration SettlingTime = 60s;
+constexpr double CapOverage = 0.1;
+/// More than the pool has.
+constexpr Resources WideCap{1'000'000, 10'000'000, 1000};
 
 class FaultRun {
 public:
   FaultRun(std::uint64_t Seed, PoolFaults Kinds)
-      : KindCount(Kinds == PoolFaults::Base ? 9 : 10), Generator(Seed),
-        Simulation(Seed, Daemons, Racks) {}
+      : KindCount(kindCount(Kinds)), ChangesCaps(Kinds == PoolFaults::WithCaps),
+        Generator(Seed), Simulation(Seed, Daemons, Racks, limits()),
+        Caps(Simulation, CapOverage) {
+    if (Kinds == PoolFaults::WithWideCaps) {
+      // Under the same version, since the version is logged.
+      Simulation.Configuration.Caps = {{WorkspaceId("a"), WideCap}};
+      Simulation.applyConfiguration();
+    }
+    if (ChangesCaps)
+      Caps.setCaps(randomCaps());
+  }
 
   std::vector<std::string> run() {
     Simulation.runFor(1s);
@@ -54,6 +67,47 @@
   }
 
 private:
+  static std::uint32_t kindCount(PoolFaults Kinds) {
+    if (Kinds == PoolFaults::WithCaps)
+      return 11;
+    return Kinds == PoolFaults::WithSlowDaemons ? 10 : 9;
+  }
+
+  static PoolLimits limits() {
+    PoolLimits Limits;
+    Limits.CapOverage = CapOverage;
+    return Limits;
+  }
+
+  /// Two workspaces with caps of zero to eight tasks of the widest kind, and
+  /// one without.
+  std::map<WorkspaceId, Resources> randomCaps() {
+    std::map<WorkspaceId, Resources> Result;
+    for (const char *Workspace : {"b", "c"}) {
+      Resources Cap;
+      Cap.Accelerators = static_cast<std::int32_t>(2U << Generator.below(6));
+      if (Generator.withProbability(0.3))
+        Cap.MilliCores = std::int64_t{1000} * (1 + Generator.below(8));
+      if (Generator.withProbability(0.9))
+        Result[WorkspaceId(Workspace)] = Cap;
+    }
+    return Result;
+  }
+
+  /// Each daemon receives the new caps at a time of its own.
+  void changeCaps() {
+    Caps.publishCaps(randomCaps());
+    for (std::size_t Number = 0; Number < Daemons; ++Number) {
+      Simulation.Clock.scheduleAfter(
+          std::chrono::milliseconds(Generator.below(2500)),
+          [this, Number, Received = Simulation.Configuration] {
+            auto &Owner = Simulation.daemon(Number).Owner;
+            if (Owner && Received.Version == Simulation.Configuration.Version)
+              Owner->configure(Received);
+          });
+    }
+  }
+
   void submit() {
     std::uint64_t Id = 100 + Submitted.size();
     bool Gang = Generator.withProbability(0.4);
@@ -66,6 +120,8 @@
       Spec.Queue = QueueId("urgent");
       Spec.Terms.Priority = 0;
     }
+    if (ChangesCaps)
+      Spec.Workspace = WorkspaceId(std::string(1, "abc"[Generator.below(3)]));
     std::size_t DaemonNumber = Generator.below(Daemons);
     if (!Simulation.daemon(DaemonNumber).Owner)
       return;
@@ -151,12 +207,18 @@
         Daemon.Timers.setWorkDuration(Duration::zero());
       });
       break;
+    case 10:
+      changeCaps();
+      break;
     default:
       Simulation.Shared.compact();
     }
   }
 
   void removeFaults() {
+    // The widest gang fits, so that every accepted job can end.
+    if (ChangesCaps)
+      Caps.setCaps({{WorkspaceId("b"), {0, 0, 64}}});
     for (std::size_t Number = 0; Number < Daemons; ++Number) {
       PoolDaemon &Daemon = Simulation.daemon(Number);
       Daemon.Store.Faults = StoreFaults();
@@ -173,6 +235,8 @@
 
   std::vector<std::string> findViolations() {
     std::vector<std::string> Violations = Simulation.Pool.violations();
+    Violations.insert(Violations.end(), Caps.violations().begin(),
+                      Caps.violations().end());
     for (const auto &[Id, Answer] : Submitted) {
       bool Accepted = *Answer == Reason::None;
       JobStatus Status = Simulation.visibleStatus(Id);
@@ -190,12 +254,20 @@
     }
     if (Simulation.Pool.running() > 0)
       Violations.emplace_back("tasks still run after the last job ended");
+    auto Owner = Simulation.owner();
+    for (const char *Workspace : {"a", "b", "c"}) {
+      if (Owner && Simulation.daemon(*Owner).Owner->scheduler()->held(
+                       WorkspaceId(Workspace)) != Resources())
+        Violations.emplace_back("ended runs still count against a cap");
+    }
     return Violations;
   }
 
   std::uint32_t KindCount;
+  bool ChangesCaps;
   Random Generator;
   PoolSimulation Simulation;
+  CapCheck Caps;
   std::vector<std::pair<JobId, std::shared_ptr<std::optional<Reason>>>>
       Submitted;
   std::set<JobId> Cancelled;
--- a/test/support/PoolFaultRun.h
+++ b/test/support/PoolFaultRun.h
@@ -18,6 +18,11 @@
   Base,
   /// Base, and daemons that are up to a hundred times too slow.
   WithSlowDaemons,
+  /// WithSlowDaemons, and workspaces with caps that change. Each start is
+  /// checked against the cap.
+  WithCaps,
+  /// Base with caps above the capacity of the pool, which bind nothing.
+  WithWideCaps,
 };
 
 /// Returns the violated invariants as text; empty if there are none. With \p
--- a/test/support/PoolSimulation.cpp
+++ b/test/support/PoolSimulation.cpp
@@ -4,6 +4,7 @@
 
 #include "pool/JobName.h"
 #include "pool/StoreKeys.h"
+#include "pool/WorkspaceCap.h"
 
 #include <utility>
 
@@ -78,7 +79,8 @@
       Daemon.Store, Daemon.Workers, Daemon.Timers, Daemon.Log,
       *Daemon.KnownJobs, DaemonId("daemon" + std::to_string(Number)),
       OwnerLimits(), Limits, Seed * 1000 + Number);
-  Daemon.Owner->configure(Configuration);
+  if (ConfiguresNewDaemons)
+    Daemon.Owner->configure(Configuration);
   Daemon.Owner->setDomainsOutOfService(DomainsOutOfService);
   for (const auto &[Id, Worker] : Directory)
     Daemon.Owner->workerChanged(Id, &Worker);
@@ -132,8 +134,11 @@
 PoolSimulation::submit(std::size_t Number, const pool::JobSpec &Spec) {
   Jobs[Spec.Id] = Spec;
   auto Answer = std::make_shared<std::optional<Reason>>();
+  Reason Refusal = Reason::None;
+  if (exceedsWorkspaceCap(Spec, Configuration, Limits.CapOverage))
+    Refusal = Reason::ExceedsWorkspaceCap;
   Daemons[Number]->Intake->submit(
-      Spec, Clock.now() + 3s,
+      Spec, Clock.now() + 3s, Refusal,
       [this, Answer, Id = Spec.Id](Reason Outcome, Duration Delay) {
         *Answer = Outcome;
         RetryAfter[Id] = Delay;
@@ -156,6 +161,12 @@
   return Stored.visibleStatus();
 }
 
+void PoolSimulation::applyConfiguration() {
+  for (auto &Daemon : Daemons)
+    if (Daemon->Owner)
+      Daemon->Owner->configure(Configuration);
+}
+
 void PoolSimulation::setDomainsOutOfService(
     const std::set<DomainId> &OutOfService) {
   DomainsOutOfService = OutOfService;
--- a/test/support/PoolSimulation.h
+++ b/test/support/PoolSimulation.h
@@ -76,7 +76,13 @@
   /// Adds a worker to the directory, or lists it as draining.
   void listWorker(const WorkerId &Id, bool Draining = false);
 
+  /// Gives the configuration to all running daemons.
+  void applyConfiguration();
+  const pool::JobSpec &spec(JobId Id) const { return Jobs.at(Id); }
+
   pool::PoolConfiguration Configuration;
+  /// Whether a restarted daemon has the configuration from the start.
+  bool ConfiguresNewDaemons = true;
   /// Retry delay of the last response to a caller, by job.
   std::map<JobId, Duration> RetryAfter;
 
