--- a/test/support/FakeWorkerPool.cpp
+++ b/test/support/FakeWorkerPool.cpp
@@ -42,10 +42,12 @@
 
 void FakeWorkerPool::visitRunning(
     const std::function<void(const TaskKey &)> &Visit) const {
-  for (const auto &[Id, State] : Workers)
-    if (State.Up)
-      for (const auto &Entry : State.Runs)
-        Visit(Entry.first.first);
+  for (const auto &[Id, State] : Workers) {
+    if (!State.Up)
+      continue;
+    for (const auto &Entry : State.Runs)
+      Visit(Entry.first.first);
+  }
 }
 
 std::size_t FakeWorkerPool::startsIn(const DomainId &Domain,
