--- a/src/pool/JobIntake.cpp
+++ b/src/pool/JobIntake.cpp
@@ -24,6 +24,9 @@
   /// rejected before.
   StoreRevision ReplacedVersion;
   JobId Job;
+  /// The reason of a rejection. Only load makes a later attempt succeed, so
+  /// another reason has no retry delay.
+  Reason Refusal = Reason::DeadlineUnreachable;
   Duration RetryAfter{};
   TimePoint Deadline;
   /// Time from which a refusal marker is sent in place of an uncertain write.
@@ -61,7 +64,7 @@
   return pool::admissionDelay(Spec, Service->second);
 }
 
-void JobIntake::submit(const JobSpec &Spec, TimePoint Deadline,
+void JobIntake::submit(const JobSpec &Spec, TimePoint Deadline, Reason Refusal,
                        SubmitCallback Done) {
   if (const JobCache::Entry *KnownJob = KnownJobs.findJob(Spec.Id);
       KnownJob && KnownJob->Spec) {
@@ -74,7 +77,10 @@
   auto Write = std::make_shared<PendingCreate>();
   Write->Key = std::string(JobPrefix) + jobName(Spec.Id);
   Write->ReplacedVersion = KnownJobs.refusalRevision(Spec.Id);
-  if (auto Delay = estimateAdmissionDelay(Spec)) {
+  if (Refusal != Reason::None) {
+    Write->Value = RefusalMarker;
+    Write->Refusal = Refusal;
+  } else if (auto Delay = estimateAdmissionDelay(Spec)) {
     Write->Value = RefusalMarker;
     Write->RetryAfter = *Delay;
   } else {
@@ -187,10 +193,9 @@
     if (RefusalSent) {
       RejectUnavailable();
     } else {
-      finishCreate(*Write,
-                   Write->Value == RefusalMarker ? Reason::DeadlineUnreachable
-                                                 : Reason::None,
-                   Result.Version);
+      finishCreate(
+          *Write, Write->Value == RefusalMarker ? Write->Refusal : Reason::None,
+          Result.Version);
     }
     return;
   case CallStatus::Rejected: {
@@ -211,8 +216,9 @@
     // The key exists: the job was accepted earlier, or it was rejected by
     // another daemon or by an earlier copy of this refusal marker.
     if (Found != Result.Current.end() && Found->Value == RefusalMarker) {
-      Write->RetryAfter = std::max(Write->RetryAfter, Limits.MinRetryAfter);
-      finishCreate(*Write, Reason::DeadlineUnreachable, Result.Version);
+      if (Write->Refusal == Reason::DeadlineUnreachable)
+        Write->RetryAfter = std::max(Write->RetryAfter, Limits.MinRetryAfter);
+      finishCreate(*Write, Write->Refusal, Result.Version);
       return;
     }
     Write->RetryAfter = Duration::zero();
