--- a/src/pool/PoolOwner.h
+++ b/src/pool/PoolOwner.h
@@ -15,6 +15,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -223,7 +224,8 @@
   LeaseBounds Bounds;
   bool UnansweredListed = false;
   std::unique_ptr<PoolScheduler> Scheduler;
-  PoolConfiguration Configuration;
+  /// Empty until the first configuration is received.
+  std::optional<PoolConfiguration> Configuration;
   std::set<DomainId> DomainsOutOfService;
   std::map<WorkerId, PoolWorker> Directory;
   std::unordered_map<WorkerId, Renewal> Renewals;
--- a/src/pool/PoolScheduler.cpp
+++ b/src/pool/PoolScheduler.cpp
@@ -22,7 +22,7 @@
 } // namespace
 
 PoolScheduler::PoolScheduler(const PoolLimits &Limits, DecisionLog &Log)
-    : Limits(Limits), Log(Log),
+    : Limits(Limits), Log(Log), Usage(Limits.CapOverage),
       Cost({Limits.StopTime + RoundTrip, Limits.CheckpointInterval,
             Limits.RestoreTime}),
       Reserve(Limits.Reserve) {}
@@ -38,6 +38,8 @@
 
 void PoolScheduler::configure(const PoolConfiguration &NewConfiguration) {
   Configuration = NewConfiguration;
+  Configured = true;
+  Usage.setCaps(Configuration.Caps);
   for (auto &[Id, Updated] : Jobs)
     Updated.Terms = &currentTerms(Updated.Spec);
 }
@@ -127,14 +129,12 @@
       TaskKey Task = Group.task(Spec.Id, Member);
       WorkerState &Worker = Workers[Group.Workers[Member]];
       Worker.Info.Id = Group.Workers[Member];
-      PlacedRun Run;
-      Run.Allocated = Spec.Steps[Group.Step].allocatedResources();
+      PlacedRun Run = runOfStep(Added, Spec.Steps[Group.Step]);
       Run.Phase = RunPhase::Inherited;
       if (Spec.Steps[Group.Step].FillsIdle)
         Run.ConfirmedPacePercent.reset();
       Run.OrderedAt = Now;
-      allocateResources(Worker, Run.Allocated);
-      Worker.Runs.emplace(RunKey(Task, Group.Run), Run);
+      addRun(Worker, RunKey(Task, Group.Run), Run);
       if (Spec.Steps[Group.Step].FillsIdle)
         BestEffortWorkers.insert(Worker.Info.Id);
       ++Group.LiveRuns;
@@ -259,6 +259,7 @@
 
 void PoolScheduler::removeRun(WorkerState &Worker, RunTable::iterator Run) {
   releaseResources(Worker, Run->second.Allocated);
+  Usage.removeRun(Run->second.Workspace, Run->second.Charged);
   Renewals.insert(Worker.Info.Id);
   TaskKey Task = Run->first.first;
   Worker.Runs.erase(Run);
--- a/src/pool/PoolSchedulerPass.cpp
+++ b/src/pool/PoolSchedulerPass.cpp
@@ -257,13 +257,11 @@
          ++Member, ++NextWorker) {
       TaskKey Task = Group->task(Candidate.Owner->Spec.Id, Member);
       WorkerState &Worker = Workers.at(ChosenWorkers[NextWorker]);
-      PlacedRun Run;
-      Run.Allocated = Candidate.Step->allocatedResources();
+      PlacedRun Run = runOfStep(*Candidate.Owner, *Candidate.Step);
       Run.PlannedVersion = Candidate.Owner->Version;
       Run.OrderedAt = Now;
-      allocateResources(Worker, Run.Allocated);
+      addRun(Worker, RunKey(Task, Group->Run), Run);
       Worker.Holds.recordPlacement(Candidate.Owner->Spec.Id, Run.Allocated);
-      Worker.Runs.emplace(RunKey(Task, Group->Run), Run);
       WorkersWithPendingOrders.insert(ChosenWorkers[NextWorker]);
       Renewals.insert(ChosenWorkers[NextWorker]);
       if (Candidate.Step->FillsIdle)
@@ -405,6 +403,10 @@
 bool PoolScheduler::tryPlace(StepCandidate &Candidate, TimePoint Now,
                              bool MaySpanRacks) {
   const StepSpec &Step = *Candidate.Step;
+  // A candidate at its cap leaves no entry among the requests known to fail,
+  // since it fails for no lack of resources.
+  if (isAtCap(Candidate))
+    return false;
   PlacementRequest Request = requestFor(Candidate);
   Request.MaySpanRacks = MaySpanRacks;
   // The adviser's permission differs between steps with equal requests.
@@ -412,7 +414,7 @@
       knownToFail(FailedPlacements, Request, Candidate))
     return false;
   listWaitingGroups(Candidate);
-  Request.Count = requestFor(Candidate).Count;
+  Request.Count = startableTasks(Candidate, requestFor(Candidate).Count);
   Request.Speed = speedPreference(Candidate);
   std::vector<PlacementTarget> Targets =
       placementTargets(Candidate, Request, Now);
@@ -455,6 +457,8 @@
 }
 
 void PoolScheduler::schedule(TimePoint Now, WallTime Wall) {
+  if (!Configured)
+    return;
   ReclaimingJobs.clear();
   std::erase_if(ReclaimingWorkers, [&](const WorkerId &Id) {
     ReclaimHolds &Holds = Workers.at(Id).Holds;
@@ -463,6 +467,9 @@
       ReclaimingJobs.try_emplace(Kept.Job, Kept);
     return Holds.empty();
   });
+  std::erase_if(ReclaimedDemands, [this](const auto &Entry) {
+    return !ReclaimingJobs.contains(Entry.first);
+  });
   FailedPlacements.clear();
   FailedReclaims.clear();
   PendingAdvice.reset();
@@ -471,6 +478,7 @@
     listAvailableWorkers();
   std::optional<GangReservation> LastReservation =
       std::exchange(Reservation, std::nullopt);
+  std::set<JobId> AtCap;
   bool ReserveUpdated = false;
   for (StepCandidate &Candidate : candidates(Wall)) {
     bool Urgent = Candidate.Terms->Priority == 0;
@@ -481,6 +489,12 @@
       updateReserve(Now);
     bool PrefersOneRack = Candidate.Step->Gang && Candidate.Step->SameRack;
     bool Placed = tryPlace(Candidate, Now, !PrefersOneRack);
+    // Nothing is kept or stopped for a candidate that may not start.
+    if (!Placed && isAtCap(Candidate)) {
+      AtCap.insert(Candidate.Owner->Spec.Id);
+      releaseHolds(Candidate.Owner->Spec.Id);
+      continue;
+    }
     // tryPlace() does not list the groups of a request that is known to fail.
     if (!Placed && Candidate.Groups.empty() &&
         (Urgent || Candidate.Terms->Advice))
@@ -509,6 +523,7 @@
     else
       reserveForGang(Candidate, Now);
   }
+  logJobsAtCap(std::move(AtCap));
 }
 
 PoolOrders PoolScheduler::runPass(TimePoint Now, WallTime Wall) {
--- a/src/pool/PoolSchedulerReclaim.cpp
+++ b/src/pool/PoolSchedulerReclaim.cpp
@@ -155,6 +155,8 @@
 
 void PoolScheduler::releaseHolds(JobId Id) {
   auto Own = ReclaimingJobs.find(Id);
+  if (Own == ReclaimingJobs.end())
+    return;
   auto Next = ReclaimingJobs.end();
   for (auto Other = ReclaimingJobs.begin(); Other != ReclaimingJobs.end();
        ++Other) {
@@ -197,6 +199,9 @@
   // Resources are reclaimed for all waiting tasks at once, even if they start
   // one by one.
   Request.AllOrNothing = true;
+  Request.Count = reclaimableTasks(Candidate, Request.Count);
+  if (Request.Count == 0)
+    return false;
   if (!Candidate.Terms->Advice &&
       knownToFail(FailedReclaims, Request, Candidate))
     return false;
@@ -211,6 +216,8 @@
       FailedReclaims.push_back(failedRequest(Request, Candidate));
     return false;
   }
+  ReclaimedDemands[Candidate.Owner->Spec.Id] =
+      Candidate.Step->PerTask * static_cast<std::int32_t>(Request.Count);
   for (const auto &[Index, Tasks] : Plan->Tasks)
     holdForReclaim(Candidate, *Options.States[Index], Tasks, Now);
   for (std::size_t Victim : Plan->Victims) {
--- a/test/support/FakeWorkerPool.h
+++ b/test/support/FakeWorkerPool.h
@@ -53,6 +53,9 @@
   /// Whether the ticket of an order is valid; if unset, every order is
   /// accepted.
   std::function<bool(const pool::StartOrder &)> AcceptsTicket;
+  /// Called after each start of a task, with the time at which its order was
+  /// sent; may be unset.
+  std::function<void(const pool::TaskKey &, TimePoint SentAt)> Started;
   /// Speeds relative to the run times of the behaviours; a worker that is not
   /// listed has speed 1. A gang advances at the pace of its slowest member.
   std::map<WorkerId, double> Speeds;
@@ -74,7 +77,7 @@
   std::vector<WorkerId> ids() const;
 
   pool::OrderResult start(const pool::StartOrder &Order, Epoch Token,
-                          TimePoint LeaseUntil);
+                          TimePoint LeaseUntil, TimePoint SentAt);
   pool::OrderResult stop(const pool::StopOrder &Order, Epoch Token);
   pool::OrderResult pace(const pool::PaceOrder &Order, Epoch Token);
   pool::WorkerReport renew(const WorkerId &Id, Epoch Token,
@@ -106,6 +109,9 @@
   }
   /// Number of running tasks on all workers that are up.
   std::size_t running() const;
+  /// Visits the running tasks on all workers that are up.
+  void
+  visitRunning(const std::function<void(const pool::TaskKey &)> &Visit) const;
   /// Number of starts on workers of a failure domain since a time.
   std::size_t startsIn(const DomainId &Domain, TimePoint StartTime) const;
 
--- a/test/support/PoolSimulation.h
+++ b/test/support/PoolSimulation.h
@@ -82,12 +82,18 @@
   /// Adds a worker to the directory, or lists it as draining.
   void listWorker(const WorkerId &Id, bool Draining = false);
 
+  /// Gives the configuration to all running daemons.
+  void applyConfiguration();
+  const pool::JobSpec &spec(JobId Id) const { return Jobs.at(Id); }
+
   pool::PoolConfiguration Configuration;
   /// Whether the entries of daemons that start from now on reject submissions
   /// in a known store outage. Off by default: the check of the seeded fault
   /// runs counts such a rejection as broken if a repeated submission of the job
   /// is accepted by another entry at the same time.
   bool DetectsOutages = false;
+  /// Whether a restarted daemon has the configuration from the start.
+  bool ConfiguresNewDaemons = true;
   /// Retry delay of the last response to a caller, by job.
   std::map<JobId, Duration> RetryAfter;
 
