--- a/src/pool/PoolSchedulerCaps.cpp
+++ b/src/pool/PoolSchedulerCaps.cpp
@@ -60,14 +60,6 @@
                         Owner.Spec.Steps[Group.Step].PerTask, Group.Members);
 }
 
-void PoolScheduler::releaseReclaimed(JobId Id) {
-  for (const WorkerId &Other : ReclaimingWorkers) {
-    WorkerState &Worker = Workers.at(Other);
-    if (Worker.ReclaimedFor == Id)
-      Worker.ReclaimedUntil = TimePoint();
-  }
-}
-
 void PoolScheduler::logJobsAtCap(std::set<JobId> AtCap) {
   for (JobId Id : AtCap) {
     if (JobsAtCap.contains(Id))
