Tell jobs that can never succeed from workers that fail

Cause: each failure counted against its worker. A job that can never succeed marked every worker that it touched; urgent work then avoided healthy workers as risky, and two such jobs made suspects of them.

Change: TaskFailures counts a failure against its worker unless its step, or its task if the step has completed another one, has failed on two or more other workers. The workers on which a step failed are known for 60 s, since attempts of 8 to 11 s each are further apart than the 10 s for which a failure counts against a worker. Failures of jobs that failed on fewer workers count as before.

Measured: pool_failing_jobs replays jobs that never succeed beside healthy work on 24 workers.

Limits: the first two failures of such a job count against their workers until the third. A job with fewer than three attempts of a single task stays counted.

--- a/src/pool/PoolScheduler.h
+++ b/src/pool/PoolScheduler.h
@@ -15,6 +15,7 @@
 #include "pool/PoolWorker.h"
 #include "pool/RunTable.h"
 #include "pool/SlowdownDetector.h"
+#include "pool/TaskFailures.h"
 #include "pool/TaskPlacer.h"
 #include "pool/UrgentReserve.h"
 #include "pool/WorkerOrders.h"
@@ -229,7 +230,8 @@
     std::uint64_t HighestEnd = 0;
     std::uint64_t Acknowledged = 0;
     TimePoint RefusedUntil;
-    std::map<JobId, TimePoint> Failures;
+    /// Jobs whose recent failures count against the worker.
+    std::size_t FailedJobs = 0;
     /// Whether the last task that finished or failed on the worker has failed.
     bool LastTaskFailed = false;
     SlowdownDetector Slowdown;
@@ -342,7 +344,7 @@
   /// Removes a run that has ended and frees its resources.
   void removeRun(WorkerState &Worker, RunTable::iterator Run);
   void processEnd(WorkerState &Worker, const ReportedEnd &End, TimePoint Now);
-  void taskFailed(WorkerState &Worker, Job &Owner, TaskGroup &Group,
+  void taskFailed(WorkerState &Worker, const TaskKey &Task, GroupRef Ref,
                   TimePoint Now);
   /// Returns the newest run of a member; null if no worker holds it.
   const PlacedRun *runOf(const Job &Owner, const TaskGroup &Group,
@@ -498,6 +500,7 @@
   bool HealthCheckDue = true;
   UrgentReserve Reserve;
   WorkerSpeeds Speeds;
+  TaskFailures Failures;
   /// Accelerators demanded and held by urgent work of each workspace in this
   /// pass; only while urgent work waits.
   std::optional<GuaranteeUse> UrgentUse;
--- a/src/pool/PoolSchedulerHealth.cpp
+++ b/src/pool/PoolSchedulerHealth.cpp
@@ -24,14 +24,14 @@
   for (auto &[Id, Worker] : Workers) {
     bool Before = std::exchange(Worker.Suspect, false);
     bool Slow = Worker.Slowdown.isSlow(Now);
-    bool Failing = Worker.Failures.size() >= FailedJobsToSuspect;
+    bool Failing = Worker.FailedJobs >= FailedJobsToSuspect;
     if (Slow || Failing)
       Suspects.push_back(&Worker);
     if ((Slow || Failing) && !Before) {
       Log.write(LogLevel::Change, "worker.suspect",
                 {{"worker", Id.str()},
                  {"reason", Slow ? "slow" : "failing"},
-                 {"failed_jobs", Worker.Failures.size()}});
+                 {"failed_jobs", Worker.FailedJobs}});
     }
   }
   if (Suspects.size() * SuspectDivisor > Workers.size())
--- a/src/pool/PoolSchedulerPass.cpp
+++ b/src/pool/PoolSchedulerPass.cpp
@@ -16,8 +16,6 @@
 
 namespace {
 
-/// Age at which a task failure no longer counts against its worker.
-constexpr Duration FailureWindow = std::chrono::seconds(10);
 /// Assumed remaining time of a long-running task, beyond any time that is
 /// planned.
 constexpr Duration LongRunningRemaining = std::chrono::hours(1);
@@ -216,7 +214,7 @@
     if (Reservation && !Urgent)
       Target.Free = Reservation->usableResources(Worker.Info.Id, Target.Free,
                                                  Candidate.Step->Estimate);
-    Target.Penalty = Worker.Failures.empty() ? 0 : 1;
+    Target.Penalty = Worker.FailedJobs == 0 ? 0 : 1;
     if (Candidate.Step->FillsIdle && !hasIdleCpuFor(Worker, *Candidate.Step))
       ++Target.Penalty;
     if (Candidate.Step->MaxPerWorker != 0) {
@@ -383,7 +381,7 @@
 
 bool PoolScheduler::isRisky(const WorkerState &Worker,
                             const StepCandidate &Candidate) const {
-  return Worker.LastTaskFailed && !Worker.Failures.empty() &&
+  return Worker.LastTaskFailed && Worker.FailedJobs > 0 &&
          Candidate.avoidsRisk();
 }
 
@@ -513,11 +511,9 @@
       Now - HealthCheckedAt >= Limits.HealthCheckInterval) {
     HealthCheckedAt = Now;
     removeGoneWorkers();
-    for (auto &[Id, Worker] : Workers) {
-      std::erase_if(Worker.Failures, [Now](const auto &Entry) {
-        return Now - Entry.second > FailureWindow;
-      });
-    }
+    Failures.expire(Now);
+    for (auto &[Id, Worker] : Workers)
+      Worker.FailedJobs = Failures.failedJobs(Id);
     evacuateDraining(Now);
     evacuateCordoned();
     updateSuspects(Now);
--- a/src/pool/PoolSchedulerReports.cpp
+++ b/src/pool/PoolSchedulerReports.cpp
@@ -173,14 +173,15 @@
         --Ref.Owner->WaitingGroups;
       Ref.Group->State = GroupState::Done;
       markChanged(*Ref.Owner);
-      Worker.Failures.erase(End.Task.Job);
+      Failures.recordSuccess(Worker.Info.Id, End.Task);
+      Worker.FailedJobs = Failures.failedJobs(Worker.Info.Id);
       Worker.LastTaskFailed = false;
       if (Ref.Owner->Progress.allDone())
         finishJob(*Ref.Owner, JobStatus::Completed);
     } else {
       markChanged(*Ref.Owner);
       if (End.Outcome == RunEnd::Failed)
-        taskFailed(Worker, *Ref.Owner, *Ref.Group, Now);
+        taskFailed(Worker, End.Task, Ref, Now);
       if (Ref.Group->LiveRuns > 0)
         abort(*Ref.Owner, *Ref.Group, endName(End.Outcome));
     }
@@ -190,9 +191,17 @@
   WorkersWithUnrecordedEnds.insert(Worker.Info.Id);
 }
 
-void PoolScheduler::taskFailed(WorkerState &Worker, Job &Owner,
-                               TaskGroup &Group, TimePoint Now) {
-  Worker.Failures[Owner.Spec.Id] = Now;
+void PoolScheduler::taskFailed(WorkerState &Worker, const TaskKey &Task,
+                               GroupRef Ref, TimePoint Now) {
+  Job &Owner = *Ref.Owner;
+  TaskGroup &Group = *Ref.Group;
+  auto Groups = Owner.Progress.groupsOf(Task.Occurrence, Task.Step);
+  bool StepCompletedTask =
+      std::any_of(Groups.begin(), Groups.end(), [](const TaskGroup &Other) {
+        return Other.State == GroupState::Done;
+      });
+  Failures.recordFailure(Worker.Info.Id, Task, StepCompletedTask, Now);
+  Worker.FailedJobs = Failures.failedJobs(Worker.Info.Id);
   Worker.LastTaskFailed = true;
   HealthCheckDue = true;
   if (Group.LastFailed == Group.Run)
