Prefer the speed class of the step when workers are reserved or cleared

Cause: a reservation for a gang, and the workers that are cleared for urgent work, were chosen by time or cost alone, so urgent work cleared common workers while fast ones cost the same.

Change: at equal times and equal costs, workers of the class on which the step would be placed come first. Without classes all ranks are equal and the choice is as before.

--- a/src/pool/GangReservation.cpp
+++ b/src/pool/GangReservation.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cstddef>
+#include <utility>
 
 namespace banyanworks::pool {
 
@@ -12,17 +13,20 @@
 /// A time from which one more task of the gang fits on a worker.
 struct StartSlot {
   Duration AvailableIn;
+  /// Rank of the worker's speed class in the preference of the request.
+  std::size_t ClassRank;
   std::size_t WorkerIndex;
 };
 
 void appendStartSlots(const PlacementRequest &Request, const BusyWorker &Busy,
                       std::size_t WorkerIndex, std::vector<StartSlot> &Slots) {
   PlacementTarget Target = Busy.Target;
+  std::size_t Rank = classRank(Request.Speed, Target.Speed);
   std::uint32_t Listed = 0;
   auto Add = [&](Duration AvailableIn) {
     for (std::uint32_t Fitting = fittingTasks(Request, Target);
          Listed < Fitting; ++Listed)
-      Slots.push_back({AvailableIn, WorkerIndex});
+      Slots.push_back({AvailableIn, Rank, WorkerIndex});
   };
   Add(Duration::zero());
   for (const auto &[AvailableIn, Released] : Busy.Releases) {
@@ -63,7 +67,8 @@
       return;
     std::stable_sort(Slots.begin(), Slots.end(),
                      [](const StartSlot &Left, const StartSlot &Right) {
-                       return Left.AvailableIn < Right.AvailableIn;
+                       return std::pair(Left.AvailableIn, Left.ClassRank) <
+                              std::pair(Right.AvailableIn, Right.ClassRank);
                      });
     if (!Best || Slots[Request.Count - 1].AvailableIn <
                      (*Best)[Request.Count - 1].AvailableIn)
--- a/src/pool/GangReservation.h
+++ b/src/pool/GangReservation.h
@@ -28,8 +28,9 @@
 class GangReservation {
 public:
   /// Chooses the workers on which \p Request can start soonest, within one rack
-  /// if the request asks for one and a rack is large enough. Nothing if the
-  /// request fits nowhere.
+  /// if the request asks for one and a rack is large enough. Of workers that
+  /// are free at the same time, those of the preferred speed class come first.
+  /// Nothing if the request fits nowhere.
   static std::optional<GangReservation> plan(const PlacementRequest &Request,
                                              std::vector<BusyWorker> Workers);
 
--- a/src/pool/PoolSchedulerPass.cpp
+++ b/src/pool/PoolSchedulerPass.cpp
@@ -325,12 +325,14 @@
     BusyWorker Busy;
     Busy.Target.Worker = &Worker.Info;
     Busy.Target.Free = Worker.Info.Capacity - Worker.Allocated;
+    Busy.Target.Speed = Worker.Speed;
     for (const auto &[Key, Run] : Worker.Runs)
       Busy.Releases.emplace_back(remaining(Key, Run, Now), Run.Allocated);
     (Worker.InReserve ? ReserveWorkers : BusyWorkers)
         .push_back(std::move(Busy));
   }
   PlacementRequest Request = requestFor(Candidate);
+  Request.Speed = speedPreference(Candidate);
   Reservation = GangReservation::plan(Request, BusyWorkers);
   // A gang that needs nearly all workers fits only with the workers of the
   // urgent reserve.
--- a/src/pool/PoolSchedulerReclaim.cpp
+++ b/src/pool/PoolSchedulerReclaim.cpp
@@ -140,9 +140,12 @@
     return false;
   struct Unit {
     double Cost;
+    /// Of units with equal costs, those of the preferred speed class are taken.
+    std::size_t ClassRank;
     WorkerId Worker;
     std::uint32_t Tasks;
   };
+  SpeedPreference Preference = speedPreference(Candidate);
   std::map<RackId, std::vector<Unit>> Racks;
   std::uint32_t Count = Request.Count;
   for (const auto &[Id, Worker] : Workers) {
@@ -161,26 +164,33 @@
       VictimSet Needed = chooseVictims(Offer, Candidate, Tasks);
       if (Needed.Cost < 0.0)
         break;
-      Units.push_back({std::max(0.0, Needed.Cost - PreviousCost), Id, Tasks});
+      Units.push_back({std::max(0.0, Needed.Cost - PreviousCost),
+                       classRank(Preference, Worker.Speed), Id, Tasks});
       PreviousCost = std::max(PreviousCost, Needed.Cost);
     }
   }
   const std::vector<Unit> *Best = nullptr;
   double LowestCost = 0.0;
+  std::size_t LowestRanks = 0;
   for (auto &[Rack, Units] : Racks) {
     if (Units.size() < Count)
       continue;
     std::stable_sort(Units.begin(), Units.end(),
                      [](const Unit &Left, const Unit &Right) {
-                       return Left.Cost < Right.Cost;
+                       return std::pair(Left.Cost, Left.ClassRank) <
+                              std::pair(Right.Cost, Right.ClassRank);
                      });
     double Cost = 0.0;
-    for (std::uint32_t Index = 0; Index < Count; ++Index)
+    std::size_t Ranks = 0;
+    for (std::uint32_t Index = 0; Index < Count; ++Index) {
       Cost += Units[Index].Cost;
-    if (Best && Cost >= LowestCost)
+      Ranks += Units[Index].ClassRank;
+    }
+    if (Best && std::pair(Cost, Ranks) >= std::pair(LowestCost, LowestRanks))
       continue;
     Best = &Units;
     LowestCost = Cost;
+    LowestRanks = Ranks;
   }
   if (!Best) {
     if (!Candidate.Terms->Advice)
--- a/src/pool/TaskPlacer.cpp
+++ b/src/pool/TaskPlacer.cpp
@@ -129,6 +129,14 @@
 
 } // namespace
 
+std::size_t classRank(SpeedPreference Preference, SpeedClass Class) {
+  if (Preference == SpeedPreference::None)
+    return 0;
+  auto Order = classOrder(Preference);
+  return static_cast<std::size_t>(std::find(Order.begin(), Order.end(), Class) -
+                                  Order.begin());
+}
+
 std::uint32_t fittingTasks(const PlacementRequest &Request,
                            const PlacementTarget &Target) {
   auto Fits = static_cast<std::int64_t>(Request.Count);
--- a/src/pool/TaskPlacer.h
+++ b/src/pool/TaskPlacer.h
@@ -50,6 +50,10 @@
   SpeedPreference Speed = SpeedPreference::None;
 };
 
+/// Returns the rank of a class under \p Preference, from 0 for the first; 0 for
+/// all classes if speeds are ignored.
+std::size_t classRank(SpeedPreference Preference, SpeedClass Class);
+
 /// Returns how many tasks of \p Request fit on \p Target, at most
 /// Request.Count.
 std::uint32_t fittingTasks(const PlacementRequest &Request,
--- a/test/correctness/pool_speed_placement.cpp
+++ b/test/correctness/pool_speed_placement.cpp
@@ -2,6 +2,7 @@
 /// Tasks are placed by the speed class of workers. Guards against gangs that
 /// are slowed by one slower member, and against work that waits for a class
 /// although other workers have free resources.
+#include "pool/GangReservation.h"
 #include "pool/TaskPlacer.h"
 #include "pool/UrgentReserve.h"
 
@@ -99,3 +100,20 @@
   std::set<WorkerId> First{WorkerId("w0"), WorkerId("w2")};
   cr_assert(Reserve.chooseWorkers(Free, 8) == First);
 }
+
+Test(pool_speed_placement, reservation_takes_fast_workers_at_equal_times) {
+  Targets Pool{Common, Fast, Common, Fast};
+  std::vector<BusyWorker> Busy;
+  for (const PlacementTarget &Target : Pool.List) {
+    Busy.push_back({Target, {{std::chrono::seconds(2), {0, 0, 4}}}});
+    Busy.back().Target.Free.Accelerators = 0;
+  }
+  auto Reservation = GangReservation::plan(
+      request(4, SpeedPreference::FastThenCommonThenSlow), Busy);
+  cr_assert(Reservation.has_value());
+  for (const PlacementTarget &Target : Pool.List) {
+    Resources Usable = Reservation->usableResources(
+        Target.Worker->Id, Target.Free, std::chrono::seconds(9));
+    cr_assert_eq(Usable.Accelerators, Target.Speed == Fast ? 0 : 4);
+  }
+}
