Divide estimates of running tasks by the speed of their class

Cause: the remaining time of a run without reported progress was its estimate, whatever the speed of its worker. Reservations and the published load used it.

Change: the estimate is divided by the relative speed of the slowest class among the group's workers. Best-effort steps, whose pace depends on idle processor time, and pools without classes keep the plain estimate.

Measured: twelve tasks of 10 s on eight common workers and four of twice the speed count as 8.3 s of work for the pool; without the change as 10.0 s, and the test fails.

--- a/src/pool/PoolScheduler.h
+++ b/src/pool/PoolScheduler.h
@@ -474,6 +474,9 @@
   void forgetSpeed(WorkerState &Worker);
   void updateSpeedClasses(TimePoint Now);
   SpeedPreference speedPreference(const StepCandidate &Candidate) const;
+  /// Returns the estimated run time of an active group at the speed of the
+  /// slowest class among its workers.
+  Duration estimateAtClass(const StepSpec &Step, const TaskGroup &Group) const;
   /// Sets the pace of best-effort tasks on a worker by the worst tail response
   /// time, relative to its target, of the serving tasks there.
   void throttleBestEffort(WorkerState &Worker, std::optional<double> Worst,
--- a/src/pool/PoolSchedulerPass.cpp
+++ b/src/pool/PoolSchedulerPass.cpp
@@ -309,7 +309,8 @@
     return LongRunningRemaining;
   if (Run.ProgressPercent > 0 && Run.ProgressPercent < 100)
     return Elapsed * (100 - Run.ProgressPercent) / Run.ProgressPercent;
-  Duration Estimate = Ref.Owner->Spec.Steps[Key.first.Step].Estimate;
+  Duration Estimate =
+      estimateAtClass(Ref.Owner->Spec.Steps[Key.first.Step], *Ref.Group);
   return std::max(Estimate - Elapsed, Estimate / 10);
 }
 
--- a/src/pool/PoolSchedulerSpeeds.cpp
+++ b/src/pool/PoolSchedulerSpeeds.cpp
@@ -4,6 +4,7 @@
 
 #include "base/DecisionLog.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace banyanworks::pool {
@@ -69,4 +70,18 @@
              : SpeedPreference::CommonThenFastThenSlow;
 }
 
+Duration PoolScheduler::estimateAtClass(const StepSpec &Step,
+                                        const TaskGroup &Group) const {
+  // The pace of a best-effort task depends on idle processor time.
+  if (!Speeds.isUneven() || Step.FillsIdle || Group.Workers.empty())
+    return Step.Estimate;
+  SpeedClass Slowest = SpeedClass::Fast;
+  for (const WorkerId &Id : Group.Workers) {
+    auto Found = Workers.find(Id);
+    Slowest = std::min(Slowest, Found == Workers.end() ? SpeedClass::Common
+                                                       : Found->second.Speed);
+  }
+  return scaled(Step.Estimate, 1.0 / Speeds.relativeSpeed(Slowest));
+}
+
 } // namespace banyanworks::pool
--- a/test/correctness/pool_learned_speeds.cpp
+++ b/test/correctness/pool_learned_speeds.cpp
@@ -145,3 +145,14 @@
   for (const WorkerId &Id : Cleared)
     cr_assert(SchedulerFixture::isFast(Id), "%s", Id.str().c_str());
 }
+
+Test(pool_learned_speeds, estimates_of_running_tasks_follow_the_speed) {
+  SchedulerFixture Fixture;
+  Fixture.submit(10, "batch", WorkerCount, 8, 1);
+  Fixture.start();
+  // 8 tasks of 10 s and 4 of 5 s on 12 workers.
+  double Work = toSeconds(Fixture.Scheduler.load(Fixture.Now)
+                              .Services.at(ServiceId("service"))
+                              .Work.at(2));
+  cr_assert_float_eq(Work, (8 * 10.0 + 4 * 5.0) / 12, 0.4, "%f", Work);
+}
