--- a/src/pool/PoolScheduler.h
+++ b/src/pool/PoolScheduler.h
@@ -22,6 +22,7 @@
 #include "pool/WorkerSpeeds.h"
 #include "pool/WorkspaceUsage.h"
 
+#include <array>
 #include <cstdint>
 #include <deque>
 #include <functional>
@@ -190,6 +191,8 @@
   }
   /// Number of jobs that are neither final nor started.
   std::size_t waitingJobs() const;
+  /// Number of listed workers by speed class.
+  std::array<std::size_t, SpeedClasses> workersByClass() const;
 
 private:
   struct Job {
--- a/src/pool/PoolSchedulerSpeeds.cpp
+++ b/src/pool/PoolSchedulerSpeeds.cpp
@@ -70,6 +70,14 @@
              : SpeedPreference::CommonThenFastThenSlow;
 }
 
+std::array<std::size_t, SpeedClasses> PoolScheduler::workersByClass() const {
+  std::array<std::size_t, SpeedClasses> Counts{};
+  for (const auto &[Id, Worker] : Workers)
+    if (Worker.Listed)
+      ++Counts[static_cast<std::size_t>(Worker.Speed)];
+  return Counts;
+}
+
 Duration PoolScheduler::estimateAtClass(const StepSpec &Step,
                                         const TaskGroup &Group) const {
   // The pace of a best-effort task depends on idle processor time.
