--- a/src/pool/PoolScheduler.h
+++ b/src/pool/PoolScheduler.h
@@ -18,12 +18,14 @@
 #include "pool/RunTable.h"
 #include "pool/SlowdownDetector.h"
 #include "pool/StopCost.h"
+#include "pool/TaskFailures.h"
 #include "pool/TaskPlacer.h"
 #include "pool/UrgentReserve.h"
 #include "pool/WorkerOrders.h"
 #include "pool/WorkerSpeeds.h"
 #include "pool/WorkspaceUsage.h"
 
+#include <array>
 #include <cstdint>
 #include <deque>
 #include <functional>
@@ -196,6 +198,8 @@
   }
   /// Number of jobs that are neither final nor started.
   std::size_t waitingJobs() const;
+  /// Number of listed workers by speed class.
+  std::array<std::size_t, SpeedClasses> workersByClass() const;
 
 private:
   struct Job {
@@ -243,7 +247,8 @@
     std::uint64_t HighestEnd = 0;
     std::uint64_t Acknowledged = 0;
     TimePoint RefusedUntil;
-    std::map<JobId, TimePoint> Failures;
+    /// Jobs whose recent failures count against the worker.
+    std::size_t FailedJobs = 0;
     /// Whether the last task that finished or failed on the worker has failed.
     bool LastTaskFailed = false;
     SlowdownDetector Slowdown;
@@ -356,7 +361,7 @@
   /// Removes a run that has ended and frees its resources.
   void removeRun(WorkerState &Worker, RunTable::iterator Run);
   void processEnd(WorkerState &Worker, const ReportedEnd &End, TimePoint Now);
-  void taskFailed(WorkerState &Worker, Job &Owner, TaskGroup &Group,
+  void taskFailed(WorkerState &Worker, const TaskKey &Task, GroupRef Ref,
                   TimePoint Now);
   /// Returns the newest run of a member; null if no worker holds it.
   const PlacedRun *runOf(const Job &Owner, const TaskGroup &Group,
@@ -481,6 +486,9 @@
   void forgetSpeed(WorkerState &Worker);
   void updateSpeedClasses(TimePoint Now);
   SpeedPreference speedPreference(const StepCandidate &Candidate) const;
+  /// Returns the estimated run time of an active group at the speed of the
+  /// slowest class among its workers.
+  Duration estimateAtClass(const StepSpec &Step, const TaskGroup &Group) const;
   /// Sets the pace of best-effort tasks on a worker by the worst tail response
   /// time, relative to its target, of the serving tasks there.
   void throttleBestEffort(WorkerState &Worker, std::optional<double> Worst,
@@ -551,6 +559,7 @@
   bool HealthCheckDue = true;
   UrgentReserve Reserve;
   WorkerSpeeds Speeds;
+  TaskFailures Failures;
   /// Accelerators demanded and held by urgent work of each workspace in this
   /// pass; only while urgent work waits.
   std::optional<GuaranteeUse> UrgentUse;
--- a/src/pool/PoolSchedulerPass.cpp
+++ b/src/pool/PoolSchedulerPass.cpp
@@ -16,8 +16,6 @@
 
 namespace {
 
-/// Age at which a task failure no longer counts against its worker.
-constexpr Duration FailureWindow = std::chrono::seconds(10);
 /// Assumed remaining time of a long-running task, beyond any time that is
 /// planned.
 constexpr Duration LongRunningRemaining = std::chrono::hours(1);
@@ -218,7 +216,7 @@
     if (Reservation && !Urgent)
       Target.Free = Reservation->usableResources(Worker.Info.Id, Target.Free,
                                                  Candidate.Step->Estimate);
-    Target.Penalty = Worker.Failures.empty() ? 0 : 1;
+    Target.Penalty = Worker.FailedJobs == 0 ? 0 : 1;
     if (Candidate.Step->FillsIdle && !hasIdleCpuFor(Worker, *Candidate.Step))
       ++Target.Penalty;
     if (Candidate.Step->MaxPerWorker != 0) {
@@ -315,7 +313,8 @@
     return LongRunningRemaining;
   if (Run.ProgressPercent > 0 && Run.ProgressPercent < 100)
     return Elapsed * (100 - Run.ProgressPercent) / Run.ProgressPercent;
-  Duration Estimate = Ref.Owner->Spec.Steps[Key.first.Step].Estimate;
+  Duration Estimate =
+      estimateAtClass(Ref.Owner->Spec.Steps[Key.first.Step], *Ref.Group);
   return std::max(Estimate - Elapsed, Estimate / 10);
 }
 
@@ -331,12 +330,14 @@
     BusyWorker Busy;
     Busy.Target.Worker = &Worker.Info;
     Busy.Target.Free = Worker.Info.Capacity - Worker.Allocated;
+    Busy.Target.Speed = Worker.Speed;
     for (const auto &[Key, Run] : Worker.Runs)
       Busy.Releases.emplace_back(remaining(Key, Run, Now), Run.Allocated);
     (Worker.InReserve ? ReserveWorkers : BusyWorkers)
         .push_back(std::move(Busy));
   }
   PlacementRequest Request = requestFor(Candidate);
+  Request.Speed = speedPreference(Candidate);
   Reservation = GangReservation::plan(Request, BusyWorkers);
   // A gang that needs nearly all workers fits only with the workers of the
   // urgent reserve.
@@ -396,7 +397,7 @@
 
 bool PoolScheduler::isRisky(const WorkerState &Worker,
                             const StepCandidate &Candidate) const {
-  return Worker.LastTaskFailed && !Worker.Failures.empty() &&
+  return Worker.LastTaskFailed && Worker.FailedJobs > 0 &&
          Candidate.avoidsRisk();
 }
 
@@ -532,11 +533,9 @@
       Now - HealthCheckedAt >= Limits.HealthCheckInterval) {
     HealthCheckedAt = Now;
     removeGoneWorkers();
-    for (auto &[Id, Worker] : Workers) {
-      std::erase_if(Worker.Failures, [Now](const auto &Entry) {
-        return Now - Entry.second > FailureWindow;
-      });
-    }
+    Failures.expire(Now);
+    for (auto &[Id, Worker] : Workers)
+      Worker.FailedJobs = Failures.failedJobs(Id);
     evacuateDraining(Now);
     evacuateCordoned();
     updateSuspects(Now);
--- a/src/pool/PoolSchedulerReclaim.cpp
+++ b/src/pool/PoolSchedulerReclaim.cpp
@@ -206,9 +206,19 @@
       knownToFail(FailedReclaims, Request, Candidate))
     return false;
   ReclaimOptions Options;
+  // Of equally expensive plans, the first workers are taken.
+  SpeedPreference Preference = speedPreference(Candidate);
+  std::vector<WorkerState *> Eligible;
   for (auto &[Id, Worker] : Workers)
     if (eligible(Worker, Candidate, Now) && !isRisky(Worker, Candidate))
-      addReclaimWorker(Options, Worker, Candidate, Now, Wall);
+      Eligible.push_back(&Worker);
+  std::stable_sort(Eligible.begin(), Eligible.end(),
+                   [&](const WorkerState *Left, const WorkerState *Right) {
+                     return classRank(Preference, Left->Speed) <
+                            classRank(Preference, Right->Speed);
+                   });
+  for (WorkerState *Worker : Eligible)
+    addReclaimWorker(Options, *Worker, Candidate, Now, Wall);
   std::optional<ReclaimPlan> Plan =
       planReclaim(Request, Options.Workers, Options.Victims);
   if (!Plan) {
