--- a/test/support/PoolSimulation.cpp
+++ b/test/support/PoolSimulation.cpp
@@ -139,6 +139,7 @@
       Spec, Clock.now() + 3s,
       [this, Answer, Id = Spec.Id](Reason Outcome, Duration Delay) {
         *Answer = Outcome;
+        Answers[Id].push_back(Outcome);
         RetryAfter[Id] = Delay;
       });
   return Answer;
