--- a/test/support/PoolFaultRun.h
+++ b/test/support/PoolFaultRun.h
@@ -18,6 +18,9 @@
   Base,
   /// Base, and daemons that are up to a hundred times too slow.
   WithSlowDaemons,
+  /// Base, with entries that do not detect store outages. A seed that was
+  /// recorded for one failure still replays it.
+  WithoutOutageDetection,
 };
 
 /// Returns the violated invariants as text; empty if there are none. With \p
