Count jobs accepted since the load was measured in admission

Cause: the owner publishes the load each 0.5 s, and each entry admits by it alone, so that 40 entries admit a burst into the same capacity.

Change: the load carries the revision up to which accepted jobs are part of it, the usable capacity and the owner's wall-clock time. Entries add the work of later jobs in their cache and of their own writes that it doesn't show yet. A load is used for 2 s instead of 3 s. The revision decides rather than the time, since clocks of VMs jump.

--- a/src/pool/Admission.cpp
+++ b/src/pool/Admission.cpp
@@ -4,6 +4,7 @@
 
 #include "pool/JobObjective.h"
 #include "pool/JobSpec.h"
+#include "pool/JobWork.h"
 #include "pool/PoolLoad.h"
 
 #include <algorithm>
@@ -55,4 +56,8 @@
                           static_cast<int>(JitterSteps);
 }
 
+void addAcceptedJob(ServiceLoad &Load, const JobSpec &Spec) {
+  Load.Work[Spec.Terms.Priority] += jobWork(Spec, Load.Usable);
+}
+
 } // namespace banyanworks::pool
--- a/src/pool/Admission.h
+++ b/src/pool/Admission.h
@@ -25,6 +25,12 @@
 std::optional<Duration> admissionDelay(const JobSpec &Spec,
                                        const ServiceLoad &Load);
 
+/// Adds the work of a job that was accepted after the load was measured.
+///
+/// The load that it addresses: 40 entries receive a burst between two
+/// publications of the load, and each admits into the same capacity.
+void addAcceptedJob(ServiceLoad &Load, const JobSpec &Spec);
+
 } // namespace banyanworks::pool
 
 #endif
--- a/src/pool/JobCache.cpp
+++ b/src/pool/JobCache.cpp
@@ -18,7 +18,7 @@
 /// Validity of a published load. The owner publishes the load at least every
 /// OwnerLimits::LoadPublishInterval while work is queued; the rest allows for
 /// the time until the entry arrives.
-constexpr Duration LoadValidity = std::chrono::seconds(3);
+constexpr Duration LoadValidity = std::chrono::seconds(2);
 
 } // namespace
 
@@ -88,6 +88,8 @@
     return;
   }
   Load = std::move(*Decoded);
+  AcceptedSinceLoad.erase(AcceptedSinceLoad.begin(),
+                          AcceptedSinceLoad.upper_bound(Load->Covers));
   LoadReceivedAt = Clock.now();
 }
 
@@ -123,9 +125,13 @@
       Log.write(LogLevel::Notice, "record.ignored",
                 {{"key", Key}, {"reason", "unknown job status"}});
   } else if (!Changed) {
+    AcceptedSinceLoad.erase(Job.Version);
     Job.Spec.reset();
   } else if (auto Spec = decodeJobSpec(Changed->Value)) {
     Job.Spec = std::move(*Spec);
+    Job.Version = Changed->Version;
+    if (!Load || Load->Covers < Job.Version)
+      AcceptedSinceLoad[Job.Version] = *Id;
   } else {
     Log.write(LogLevel::Notice, "record.ignored",
               {{"key", Key}, {"reason", Spec.error().Message}});
--- a/src/pool/JobCache.h
+++ b/src/pool/JobCache.h
@@ -23,6 +23,8 @@
   struct Entry {
     /// Unset until the job record itself has been received.
     std::optional<JobSpec> Spec;
+    /// Revision of the job record.
+    StoreRevision Version;
     JobStatus Status = JobStatus::Queued;
     bool Cancelled = false;
 
@@ -52,6 +54,11 @@
   std::vector<JobId> refusedJobs() const;
   /// Returns the load that the owner published last; null if it is outdated.
   const PoolLoad *load() const;
+  /// Returns the jobs whose records are newer than the load that the owner
+  /// published last, by revision.
+  const std::map<StoreRevision, JobId> &acceptedSinceLoad() const {
+    return AcceptedSinceLoad;
+  }
   /// Returns the store entry of the pool's owner; nullopt if there is no
   /// owner.
   const std::optional<StoreEntry> &owner() const { return Owner; }
@@ -76,6 +83,7 @@
   std::map<JobId, StoreRevision> RefusedJobs;
   std::optional<PoolLoad> Load;
   TimePoint LoadReceivedAt;
+  std::map<StoreRevision, JobId> AcceptedSinceLoad;
   std::optional<StoreEntry> Owner;
   std::function<void(JobId)> JobListener;
   std::function<void()> OwnerListener;
--- a/src/pool/JobIntake.cpp
+++ b/src/pool/JobIntake.cpp
@@ -50,15 +50,37 @@
     : Store(Store), Clock(Clock), Log(Log), KnownJobs(KnownJobs),
       Health(Health), Limits(Limits) {}
 
-std::optional<Duration>
-JobIntake::estimateAdmissionDelay(const JobSpec &Spec) const {
+std::optional<Duration> JobIntake::estimateAdmissionDelay(const JobSpec &Spec) {
+  std::erase_if(UnseenJobs, [this](const auto &Item) {
+    const JobCache::Entry *Job = KnownJobs.findJob(Item.first);
+    return (Job && Job->Spec) || Item.second.ExpiresAt < Clock.now();
+  });
   const PoolLoad *Load = KnownJobs.load();
   if (!Load)
     return std::nullopt;
   auto Service = Load->Services.find(Spec.Terms.Service);
   if (Service == Load->Services.end())
     return std::nullopt;
-  return pool::admissionDelay(Spec, Service->second);
+  ServiceLoad Current = Service->second;
+  // Owners of earlier versions publish neither of these.
+  if (Limits.AddsAcceptedJobs && Load->Covers != StoreRevision() &&
+      Current.Usable != Resources())
+    addAcceptedJobs(Spec, Current);
+  return pool::admissionDelay(Spec, Current);
+}
+
+void JobIntake::addAcceptedJobs(const JobSpec &Spec, ServiceLoad &Load) const {
+  auto Add = [&](const JobSpec &Accepted) {
+    if (Accepted.Terms.Service == Spec.Terms.Service && Accepted.Id != Spec.Id)
+      addAcceptedJob(Load, Accepted);
+  };
+  for (const auto &[Revision, Id] : KnownJobs.acceptedSinceLoad()) {
+    const JobCache::Entry *Job = KnownJobs.findJob(Id);
+    if (Job && Job->Spec && !isFinal(Job->visibleStatus()))
+      Add(*Job->Spec);
+  }
+  for (const auto &Item : UnseenJobs)
+    Add(Item.second.Spec);
 }
 
 void JobIntake::submit(const JobSpec &Spec, TimePoint Deadline,
@@ -79,6 +101,7 @@
     Write->RetryAfter = *Delay;
   } else {
     Write->Value = encodeJobSpec(Spec);
+    UnseenJobs[Spec.Id] = {Spec, Deadline + Limits.MaxWatchAge};
   }
   Write->Job = Spec.Id;
   Write->Done = std::move(Done);
@@ -168,6 +191,8 @@
              {"revision", Version.value()},
              {"retry_after_ms", Write.RetryAfter.count() / 1000},
              {"tries", Write.Attempts}});
+  if (Outcome != Reason::None && Outcome != Reason::OutcomeUnknown)
+    UnseenJobs.erase(Write.Job);
   std::exchange(Write.Done, nullptr)(Outcome, Write.RetryAfter);
 }
 
--- a/src/pool/JobIntake.h
+++ b/src/pool/JobIntake.h
@@ -12,6 +12,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 
@@ -26,6 +27,7 @@
 
 class JobCache;
 class StoreHealth;
+struct ServiceLoad;
 
 /// Timeouts and limits of a JobIntake.
 struct IntakeLimits {
@@ -66,6 +68,9 @@
   /// Maximum age of the watch's last confirmation for a queued status to be
   /// answered from the cache; an idle watch is confirmed every second.
   Duration MaxWatchAge = std::chrono::milliseconds(1500);
+  /// Whether jobs that were accepted after the load was measured are added to
+  /// it; false to admit by the published load alone.
+  bool AddsAcceptedJobs = true;
 };
 
 /// Accepts, reports and cancels jobs. Reason::None means success.
@@ -112,10 +117,19 @@
   /// Creation of a key that may exist already, retried until its outcome is
   /// known.
   struct PendingCreate;
+  /// A job that this daemon has written or is writing, and that its cache may
+  /// not show yet.
+  struct UnseenJob {
+    JobSpec Spec;
+    TimePoint ExpiresAt;
+  };
 
   /// Returns the retry delay if the job should be rejected under the current
   /// load, otherwise nullopt.
-  std::optional<Duration> estimateAdmissionDelay(const JobSpec &Spec) const;
+  std::optional<Duration> estimateAdmissionDelay(const JobSpec &Spec);
+  /// Adds the jobs accepted since, except \p Spec itself, to the published
+  /// load of its service.
+  void addAcceptedJobs(const JobSpec &Spec, ServiceLoad &Load) const;
   /// Runs \p Work, or \p Reject with a retry time if the store is unavailable.
   void unlessUnavailable(JobId Id, std::function<void()> Work,
                          std::function<void(Duration RetryAfter)> Reject);
@@ -145,6 +159,7 @@
   const StoreHealth *Health;
   IntakeLimits Limits;
   std::uint32_t StatusReadsInFlight = 0;
+  std::map<JobId, UnseenJob> UnseenJobs;
 };
 
 } // namespace banyanworks::pool
--- a/src/pool/PoolLoad.h
+++ b/src/pool/PoolLoad.h
@@ -7,6 +7,9 @@
 #include "base/Error.h"
 #include "base/Ids.h"
 #include "base/Time.h"
+#include "base/Units.h"
+#include "base/WallTime.h"
+#include "state/Store.h"
 
 #include <cstdint>
 #include <map>
@@ -17,6 +20,8 @@
 /// The load of one service's workers. Work is measured as the time that all
 /// usable workers together need for it.
 struct ServiceLoad {
+  /// Capacity of the usable workers together; zero if it is not known.
+  Resources Usable;
   /// Share of the workers' capacity that urgent work holds, 0 to 1.
   double UrgentShare = 0.0;
   /// Running and waiting work, by priority.
@@ -26,6 +31,12 @@
 };
 
 struct PoolLoad {
+  /// Time at which the owner measured the load, on its own clock. Ages are
+  /// measured from the receipt instead, since the clocks of VMs jump.
+  WallTime MeasuredAt;
+  /// Jobs accepted up to this revision are part of the load. Zero if it is not
+  /// known.
+  StoreRevision Covers;
   std::map<ServiceId, ServiceLoad> Services;
 
   std::string encode() const;
--- a/src/pool/PoolOwnerPass.cpp
+++ b/src/pool/PoolOwnerPass.cpp
@@ -154,8 +154,11 @@
   if (TimePoint Now = Clock.now();
       Now - LoadPublishedAt >= Limits.LoadPublishInterval) {
     LoadPublishedAt = Now;
+    PoolLoad Load = Scheduler->load(Now);
+    Load.MeasuredAt = Clock.wallNow();
+    Load.Covers = KnownJobs.watch().revision();
     Write->Changes.Puts.push_back(
-        {std::string(LoadKey), Scheduler->load(Now).encode(), StoreLeaseId()});
+        {std::string(LoadKey), Load.encode(), StoreLeaseId()});
   }
   CommitInFlight = true;
   sendCommit(Write);
--- a/src/pool/PoolSchedulerLoad.cpp
+++ b/src/pool/PoolSchedulerLoad.cpp
@@ -1,25 +1,10 @@
 /// \file
 /// Implements the load report of a PoolScheduler.
+#include "pool/JobWork.h"
 #include "pool/PoolScheduler.h"
 
-#include <algorithm>
-
 namespace banyanworks::pool {
 
-namespace {
-
-/// Returns the largest share of \p Total that \p Used takes of any resource.
-double dominantShare(const Resources &Used, const Resources &Total) {
-  auto Share = [](std::int64_t Part, std::int64_t All) {
-    return All > 0 ? static_cast<double>(Part) / static_cast<double>(All) : 0.0;
-  };
-  return std::max({Share(Used.MilliCores, Total.MilliCores),
-                   Share(Used.MemoryMiB, Total.MemoryMiB),
-                   Share(Used.Accelerators, Total.Accelerators)});
-}
-
-} // namespace
-
 PoolLoad PoolScheduler::load(TimePoint Now) {
   std::map<ServiceId, Resources> Usable;
   std::map<ServiceId, Resources> Urgent;
@@ -35,9 +20,11 @@
     }
   }
   PoolLoad Result;
-  for (const auto &[Service, Total] : Usable)
+  for (const auto &[Service, Total] : Usable) {
+    Result.Services[Service].Usable = Total;
     Result.Services[Service].UrgentShare =
         dominantShare(Urgent[Service], Total);
+  }
   for (auto &[Id, Owner] : Jobs) {
     if (isFinal(Owner.Status) || Owner.Spec.isScheduled())
       continue;
@@ -55,9 +42,7 @@
       Duration RemainingTime =
           Run ? remaining({Group.task(Id, 0), Group.Run}, *Run, Now)
               : Step.Estimate;
-      Work += scaled(RemainingTime,
-                     dominantShare(Step.allocatedResources(), Total->second) *
-                         Group.Members);
+      Work += stepWork(Step, Group.Members, RemainingTime, Total->second);
     }
     Result.Services[Terms.Service].Work[Terms.Priority] += Work;
   }
--- a/test/correctness/pool_admission.cpp
+++ b/test/correctness/pool_admission.cpp
@@ -83,10 +83,16 @@
   PoolLoad Load;
   Load.Services[ServiceId("a")] = makeLoad(2, 12s);
   Load.Services[ServiceId("a")].UrgentShare = 0.25;
+  Load.Services[ServiceId("a")].Usable = {22'400'000, 89'600'000, 2'800};
+  Load.MeasuredAt = WallTime(1h);
+  Load.Covers = StoreRevision(77);
   auto Read = PoolLoad::decode(Load.encode());
   cr_assert(Read);
   cr_assert(*Read == Load);
   cr_assert_not(PoolLoad::decode("[]"));
+  // Published by an owner of an earlier version.
+  cr_assert(PoolLoad::decode(
+      R"({"services":{"a":{"urgent_share":0.5,"work_us":[[1,2]]}}})"));
 }
 
 Test(pool_admission, accepted_jobs_complete_under_fourfold_load) {
