--- a/test/support/PoolFaultRun.h
+++ b/test/support/PoolFaultRun.h
@@ -23,6 +23,9 @@
   WithCaps,
   /// Base with caps above the capacity of the pool, which bind nothing.
   WithWideCaps,
+  /// Base, with entries that do not detect store outages. A seed that was
+  /// recorded for one failure still replays it.
+  WithoutOutageDetection,
 };
 
 /// Returns the violated invariants as text; empty if there are none. With \p
