--- a/src/pool/PoolLoad.cpp
+++ b/src/pool/PoolLoad.cpp
@@ -35,10 +35,11 @@
     Result.Covers = StoreRevision(In.value("covers", std::uint64_t{0}));
     for (const auto &[Service, Fields] : In.at("services").items()) {
       ServiceLoad &Load = Result.Services[ServiceId(Service)];
-      if (auto Usable = Fields.find("usable"); Usable != Fields.end())
+      if (auto Usable = Fields.find("usable"); Usable != Fields.end()) {
         Load.Usable = {Usable->at(0).get<std::int64_t>(),
                        Usable->at(1).get<std::int64_t>(),
                        Usable->at(2).get<std::int32_t>()};
+      }
       Load.UrgentShare = Fields.at("urgent_share").get<double>();
       for (const json &Row : Fields.at("work_us"))
         Load.Work[Row.at(0).get<std::uint32_t>()] =
--- a/src/pool/PoolScheduler.h
+++ b/src/pool/PoolScheduler.h
@@ -83,6 +83,10 @@
   double CapOverage = 0.0;
   /// Whether the speeds of workers are learned and used for placement.
   bool LearnSpeeds = true;
+  /// Reclaims planned in one pass. A plan looks at all workers and their runs;
+  /// in a flood of urgent jobs, a plan for each made a pass take 0.4 s, in
+  /// which gangs waited for their last members.
+  std::size_t MaxReclaimPlans = 4;
   ReserveLimits Reserve;
 };
 
@@ -575,6 +579,8 @@
   /// resources could be reclaimed.
   std::vector<FailedRequest> FailedPlacements;
   std::vector<FailedRequest> FailedReclaims;
+  /// Number of reclaims planned in this pass.
+  std::size_t ReclaimPlans = 0;
   bool Fenced = false;
 };
 
--- a/src/pool/PoolSchedulerPass.cpp
+++ b/src/pool/PoolSchedulerPass.cpp
@@ -473,6 +473,7 @@
   });
   FailedPlacements.clear();
   FailedReclaims.clear();
+  ReclaimPlans = 0;
   PendingAdvice.reset();
   StopAssessments.clear();
   if (AvailableWorkers.empty())
--- a/src/pool/PoolSchedulerReclaim.cpp
+++ b/src/pool/PoolSchedulerReclaim.cpp
@@ -205,6 +205,8 @@
   if (!Candidate.Terms->Advice &&
       knownToFail(FailedReclaims, Request, Candidate))
     return false;
+  if (ReclaimPlans++ >= Limits.MaxReclaimPlans)
+    return false;
   ReclaimOptions Options;
   // Of equally expensive plans, the first workers are taken.
   SpeedPreference Preference = speedPreference(Candidate);
