--- a/src/daemon/StoreLink.cpp
+++ b/src/daemon/StoreLink.cpp
@@ -31,7 +31,9 @@
   TimePoint Begin = steadyNow();
   StoreAnswer Answer = Adapter->call(Request, Timeout);
   Available = !std::holds_alternative<UnavailableAnswer>(Answer.Result);
-  Counters.recordStoreCall(std::visit(KindName(), Request), Available,
+  Counters.recordStoreCall(std::visit(KindName(), Request),
+                           Available ? StoreCallEnd::Answered
+                                     : StoreCallEnd::Unavailable,
                            steadyNow() - Begin);
   return Answer;
 }
--- a/src/edge/EventLoop.cpp
+++ b/src/edge/EventLoop.cpp
@@ -91,6 +91,7 @@
     std::array<epoll_event, MaxEventsPerPoll> Events{};
     int Count = epoll_wait(EpollDescriptor, Events.data(), MaxEventsPerPoll,
                            static_cast<int>(Millis.count()));
+    TimePoint TurnStart = now();
     for (int Index = 0; Index < Count; ++Index) {
       const epoll_event &Event = Events.at(static_cast<std::size_t>(Index));
       auto Found = Handlers.find(Event.data.fd);
@@ -102,8 +103,13 @@
               (Event.events & (EPOLLOUT | ErrorEvents)) != 0);
     }
     runTimers();
+    LongestTurn = std::max(LongestTurn, now() - TurnStart);
   }
   Running = true;
 }
 
+Duration EventLoop::takeLongestTurn() {
+  return std::exchange(LongestTurn, Duration::zero());
+}
+
 } // namespace banyanworks
--- a/src/edge/EventLoop.h
+++ b/src/edge/EventLoop.h
@@ -35,12 +35,17 @@
   /// be called again.
   void run();
   void stop() { Running = false; }
+  /// Returns the longest time that handlers and timers have taken between two
+  /// waits since the last call of this function. Nothing is read or answered
+  /// during that time.
+  Duration takeLongestTurn();
 
 private:
   void runTimers();
 
   int EpollDescriptor;
   bool Running = true;
+  Duration LongestTurn{};
   std::unordered_map<int, Handler> Handlers;
   std::multimap<TimePoint, std::function<void()>> PendingTimers;
 };
--- a/src/edge/Http.h
+++ b/src/edge/Http.h
@@ -4,6 +4,8 @@
 #ifndef BANYANWORKS_EDGE_HTTP_H
 #define BANYANWORKS_EDGE_HTTP_H
 
+#include "base/Time.h"
+
 #include <cstdint>
 #include <map>
 #include <string>
@@ -56,6 +58,10 @@
   HttpHeaders Headers;
   /// Error message of a call that failed.
   std::string Fault;
+  /// Bytes of the answer that arrived, head included, and when the last of them
+  /// was read. Set for calls that failed, too.
+  std::uint64_t BytesReceived = 0;
+  TimePoint LastByteAt;
 
   bool complete() const { return Progress == CallProgress::CompleteAnswer; }
   /// True if the answer is complete and has a 2xx status.
--- a/src/edge/HttpConnection.cpp
+++ b/src/edge/HttpConnection.cpp
@@ -76,7 +76,8 @@
   Parser.data = this;
   Answer = HttpCallResult();
   Complete = false;
-  AnswerStarted = false;
+  BytesReceived = 0;
+  LastByteAt = TimePoint();
   LengthKnown = false;
   HeaderName.clear();
   ReadingName = false;
@@ -154,8 +155,9 @@
     Usable = false;
     return false;
   }
-  AnswerStarted = true;
   auto Size = static_cast<std::size_t>(Count);
+  BytesReceived += Size;
+  LastByteAt = Loop.now();
   std::size_t Parsed =
       http_parser_execute(&Parser, &parserSettings(), Buffer.data(), Size);
   http_errno Error = HTTP_PARSER_ERRNO(&Parser);
@@ -181,6 +183,8 @@
 
 HttpCallResult HttpConnection::takeAnswer() {
   HttpCallResult Result = std::move(Answer);
+  Result.BytesReceived = BytesReceived;
+  Result.LastByteAt = LastByteAt;
   if (Complete && LengthKnown) {
     Result.Progress = CallProgress::CompleteAnswer;
     return Result;
--- a/src/edge/HttpConnection.h
+++ b/src/edge/HttpConnection.h
@@ -6,6 +6,7 @@
 #include "edge/Http.h"
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <string>
 
@@ -49,7 +50,7 @@
   /// True if the connection can carry another exchange.
   bool usable() const { return Usable; }
   /// True once a byte of the current answer has arrived.
-  bool answerStarted() const { return AnswerStarted; }
+  bool answerStarted() const { return BytesReceived > 0; }
 
 private:
   void onReady(bool Readable, bool Writable);
@@ -78,7 +79,9 @@
   /// An exchange is in progress.
   bool Busy = false;
   bool Complete = false;
-  bool AnswerStarted = false;
+  /// Bytes of the current answer, and when the last of them was read.
+  std::uint64_t BytesReceived = 0;
+  TimePoint LastByteAt;
   /// The answer declares where it ends.
   bool LengthKnown = false;
   std::string SendBuffer;
--- a/src/edge/Metrics.cpp
+++ b/src/edge/Metrics.cpp
@@ -19,6 +19,18 @@
     0.0005, 0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1,
     0.2,    0.5,   1,     2,     5,    10,   30};
 
+const char *endName(StoreCallEnd End) {
+  switch (End) {
+  case StoreCallEnd::Answered:
+    return "answered";
+  case StoreCallEnd::Interrupted:
+    return "interrupted";
+  case StoreCallEnd::Unavailable:
+    break;
+  }
+  return "unavailable";
+}
+
 prometheus::Labels label(const std::string &Value) {
   if (Value.empty())
     return {};
@@ -35,6 +47,7 @@
   prometheus::Family<prometheus::Histogram> &AnswerSeconds;
   prometheus::Family<prometheus::Counter> &StoreCalls;
   prometheus::Family<prometheus::Histogram> &StoreSeconds;
+  prometheus::Family<prometheus::Counter> &StoreBytes;
   prometheus::Family<prometheus::Counter> &Orders;
   prometheus::Family<prometheus::Histogram> &TaskSeconds;
   std::mutex Lock;
@@ -65,6 +78,10 @@
                          .Name("banyanworks_store_seconds")
                          .Help("Duration of store calls")
                          .Register(Registry)),
+        StoreBytes(prometheus::BuildCounter()
+                       .Name("banyanworks_store_bytes_total")
+                       .Help("Bytes of the store's answers by kind of call")
+                       .Register(Registry)),
         Orders(prometheus::BuildCounter()
                    .Name("banyanworks_worker_orders_total")
                    .Help("Orders to workers by kind")
@@ -110,15 +127,17 @@
       .Observe(toSeconds(Elapsed));
 }
 
-void Metrics::recordStoreCall(const std::string &Kind, bool Available,
+void Metrics::recordStoreCall(const std::string &Kind, StoreCallEnd End,
                               Duration Elapsed) {
-  Self->StoreCalls
-      .Add({{"kind", Kind}, {"result", Available ? "answered" : "unavailable"}})
-      .Increment();
+  Self->StoreCalls.Add({{"kind", Kind}, {"result", endName(End)}}).Increment();
   Self->StoreSeconds.Add({{"kind", Kind}}, LatencyBuckets)
       .Observe(toSeconds(Elapsed));
 }
 
+void Metrics::recordStoreBytes(const std::string &Kind, std::uint64_t Bytes) {
+  Self->StoreBytes.Add({{"kind", Kind}}).Increment(static_cast<double>(Bytes));
+}
+
 void Metrics::recordWorkerOrder(const std::string &Kind) {
   Self->Orders.Add({{"kind", Kind}}).Increment();
 }
--- a/src/edge/Metrics.h
+++ b/src/edge/Metrics.h
@@ -7,11 +7,21 @@
 #include "base/Reason.h"
 #include "base/Time.h"
 
+#include <cstdint>
 #include <memory>
 #include <string>
 
 namespace banyanworks {
 
+/// How a call to the store ended.
+enum class StoreCallEnd : std::uint8_t {
+  Answered,
+  /// The connection or the call ended while the answer was arriving.
+  Interrupted,
+  /// No byte of an answer arrived.
+  Unavailable,
+};
+
 /// The metrics served at /metrics; may be used from several threads.
 class Metrics {
 public:
@@ -28,8 +38,10 @@
   void recordAnswer(const std::string &Plane, int Status, Duration Elapsed);
   /// Counts a call to the store and records its duration; \p Kind is the
   /// operation.
-  void recordStoreCall(const std::string &Kind, bool Available,
+  void recordStoreCall(const std::string &Kind, StoreCallEnd End,
                        Duration Elapsed);
+  /// Counts the bytes of an answer of the store, whether it is complete or not.
+  void recordStoreBytes(const std::string &Kind, std::uint64_t Bytes);
   /// Records the duration of one span of a task.
   void recordTaskSpan(const std::string &Span, Duration Elapsed);
   /// Counts an order sent to a worker.
--- a/test/support/ScriptedServer.cpp
+++ b/test/support/ScriptedServer.cpp
@@ -5,6 +5,7 @@
 #include "base/Check.h"
 #include "edge/EventLoop.h"
 
+#include <algorithm>
 #include <arpa/inet.h>
 #include <array>
 #include <netinet/in.h>
@@ -40,8 +41,7 @@
   int Socket = ::accept4(Listener, nullptr, nullptr, SOCK_NONBLOCK);
   if (Socket < 0)
     return;
-  ++AcceptedCount;
-  PendingRequests[Socket];
+  Connections[Socket].Number = ++AcceptedCount;
   Loop.watch(Socket, true, false,
              [this, Socket](bool, bool) { onReadable(Socket); });
 }
@@ -53,27 +53,47 @@
     closeConnection(Socket);
     return;
   }
-  std::string &Request = PendingRequests[Socket];
+  ConnectionState &Connection = Connections[Socket];
+  std::string &Request = Connection.Request;
   Request.append(Buffer.data(), static_cast<std::size_t>(Count));
   if (Request.find("\r\n\r\n") == std::string::npos)
     return;
   ++RequestCount;
   ScriptedReply Reply = Respond(std::exchange(Request, {}));
+  if (Reply.PartSize > 0) {
+    sendPart(Socket, Connection.Number, Reply, 0);
+    return;
+  }
   if (!Reply.Bytes.empty())
     send(Socket, Reply.Bytes.data(), Reply.Bytes.size(), MSG_NOSIGNAL);
   if (Reply.CloseAfter)
     closeConnection(Socket);
 }
 
+void ScriptedServer::sendPart(int Socket, std::uint32_t Connection,
+                              const ScriptedReply &Reply, std::size_t Offset) {
+  auto Found = Connections.find(Socket);
+  if (Found == Connections.end() || Found->second.Number != Connection)
+    return;
+  std::size_t Size = std::min(Reply.PartSize, Reply.Bytes.size() - Offset);
+  send(Socket, Reply.Bytes.data() + Offset, Size, MSG_NOSIGNAL);
+  Offset += Size;
+  if (Offset < Reply.Bytes.size())
+    Loop.schedule(Reply.PartInterval,
+                  [=, this] { sendPart(Socket, Connection, Reply, Offset); });
+  else if (Reply.CloseAfter)
+    closeConnection(Socket);
+}
+
 void ScriptedServer::closeConnection(int Socket) {
   Loop.unwatch(Socket);
   close(Socket);
-  PendingRequests.erase(Socket);
+  Connections.erase(Socket);
 }
 
 void ScriptedServer::closeConnections() {
   std::vector<int> All;
-  for (const auto &Entry : PendingRequests)
+  for (const auto &Entry : Connections)
     All.push_back(Entry.first);
   for (int Socket : All)
     closeConnection(Socket);
--- a/test/support/ScriptedServer.h
+++ b/test/support/ScriptedServer.h
@@ -4,6 +4,9 @@
 #ifndef BANYANWORKS_TEST_SUPPORT_SCRIPTEDSERVER_H
 #define BANYANWORKS_TEST_SUPPORT_SCRIPTEDSERVER_H
 
+#include "base/Time.h"
+
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -21,6 +24,10 @@
   std::string Bytes;
   /// Closes the connection afterwards.
   bool CloseAfter = false;
+  /// Sends the bytes in parts of this size, one each PartInterval, as a slow
+  /// link delivers them; zero sends them at once.
+  std::size_t PartSize = 0;
+  Duration PartInterval{};
 };
 
 /// Listens on a free loopback port. A request is complete at the end of its
@@ -45,6 +52,9 @@
   void onConnect();
   void onReadable(int Socket);
   void closeConnection(int Socket);
+  /// Sends the next part of the reply on connection number \p Connection.
+  void sendPart(int Socket, std::uint32_t Connection,
+                const ScriptedReply &Reply, std::size_t Offset);
 
   EventLoop &Loop;
   Script Respond;
@@ -52,8 +62,13 @@
   std::string Address;
   std::uint32_t AcceptedCount = 0;
   std::uint32_t RequestCount = 0;
-  /// Bytes received of the next request, by socket.
-  std::map<int, std::string> PendingRequests;
+  struct ConnectionState {
+    /// Distinguishes connections that have used the same descriptor.
+    std::uint32_t Number = 0;
+    /// Bytes received of the next request.
+    std::string Request;
+  };
+  std::map<int, ConnectionState> Connections;
 };
 
 } // namespace banyanworks::testing
