Let an answer of the store arrive for as long as bytes keep arriving

What callers saw: requests handled as an older version of the configuration says (404 for routes that exist, 200 for routes that were removed) over 3 s after the new version was acknowledged; requests with keys refused for up to 18 s.

Cause: a timeout on the whole call. A watch ended 0.7 s after its maximum wait and a list 1 s after it was sent, however much of the answer had arrived. A configuration of 842 KB (1.12 MB on the wire) takes 0.9 s over 10 Mbit/s, so a daemon on such a link never received it: each try started from the first byte, until the store had dropped the revision and the list of 1 s got through.

A store that is silent, or goes silent, is noticed as soon as before.

Evidence: store.call.failed showed 884,736 to 933,888 bytes received and at most 13 ms since the last one when the calls were cut off. New tests check that an answer that stops or trickles is still ended.

--- a/src/edge/AsyncHttpClient.cpp
+++ b/src/edge/AsyncHttpClient.cpp
@@ -66,11 +66,21 @@
   struct Transfer {
     HttpCall Call;
     ResultHandler OnDone;
+    TimePoint SentAt;
     TimePoint Deadline;
     Deadlines::iterator DeadlineEntry;
     HttpConnection *Connection = nullptr;
     /// The connection carried an earlier exchange.
     bool ReusesConnection = false;
+
+    /// When the call ends if no further byte of the answer arrives.
+    TimePoint expiry() const {
+      if (Call.MaxStall <= Duration::zero() || !Connection->answerStarted())
+        return Deadline;
+      return std::min(
+          std::max(Deadline, Connection->lastByteAt() + Call.MaxStall),
+          SentAt + Call.MaxDuration);
+    }
   };
 
   struct ConnectionState {
@@ -224,9 +234,9 @@
         continue;
       }
       PendingDeadlines.erase(PendingDeadlines.begin());
-      if (Connection->connected() && Overdue->Deadline > Now) {
-        Overdue->DeadlineEntry =
-            PendingDeadlines.emplace(Overdue->Deadline, Overdue);
+      TimePoint Expiry = Overdue->expiry();
+      if (Connection->connected() && Expiry > Now) {
+        Overdue->DeadlineEntry = PendingDeadlines.emplace(Expiry, Overdue);
         continue;
       }
       timeOut(Connection);
@@ -253,7 +263,8 @@
   auto NewTransfer = std::make_unique<Impl::Transfer>();
   NewTransfer->Call = Call;
   NewTransfer->OnDone = std::move(OnDone);
-  NewTransfer->Deadline = Self->Loop.now() + Call.Timeout;
+  NewTransfer->SentAt = Self->Loop.now();
+  NewTransfer->Deadline = NewTransfer->SentAt + Call.Timeout;
   if (!wellFormed(Call)) {
     HttpCallResult RefusedResult;
     RefusedResult.Fault = "malformed path or header in the request";
--- a/src/edge/HttpClient.h
+++ b/src/edge/HttpClient.h
@@ -22,8 +22,15 @@
   std::string Path;
   HttpHeaders Headers;
   std::string Body;
-  /// Applies to the whole call.
+  /// Applies to the whole call unless \ref MaxStall is set.
   Duration Timeout = std::chrono::seconds(5);
+  /// If positive, \ref Timeout ends the call only while no byte of the answer
+  /// has arrived. An answer that arrives may take up to \ref MaxDuration, as
+  /// long as no gap between its bytes exceeds this time. For answers whose size
+  /// is not bounded. HttpClient ignores it.
+  Duration MaxStall{};
+  /// Limit on the whole call if \ref MaxStall is set.
+  Duration MaxDuration = std::chrono::minutes(1);
   /// False if the request must not be sent twice. Such a call uses a new
   /// connection, because libcurl resends a request by itself when a reused
   /// connection turns out to be closed.
--- a/src/edge/HttpConnection.h
+++ b/src/edge/HttpConnection.h
@@ -51,6 +51,8 @@
   bool usable() const { return Usable; }
   /// True once a byte of the current answer has arrived.
   bool answerStarted() const { return BytesReceived > 0; }
+  /// When the last byte of the current answer was read.
+  TimePoint lastByteAt() const { return LastByteAt; }
 
 private:
   void onReady(bool Readable, bool Writable);
--- a/test/error/http_client_faults.cpp
+++ b/test/error/http_client_faults.cpp
@@ -233,3 +233,51 @@
   }
   cr_assert_eq(Harness.Client.connections(), MaxIdle);
 }
+
+Test(http_client_faults, answer_that_keeps_arriving_is_not_timed_out) {
+  std::string Body(100'000, 'x');
+  ScriptedReply Reply;
+  Reply.Bytes = "HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\n" + Body;
+  Reply.PartSize = 10'000;
+  Reply.PartInterval = 30ms;
+  ClientHarness Harness([&](const std::string &) { return Reply; });
+  HttpCall Call = Harness.call();
+  Call.Timeout = 100ms;
+  cr_assert_not(Harness.answerTo(Call).complete());
+  Call.MaxStall = 100ms;
+  HttpCallResult Answer = Harness.answerTo(Call);
+  cr_assert(Answer.succeeded(), "%s", Answer.Fault.c_str());
+  cr_assert_eq(Answer.Body.size(), Body.size());
+}
+
+Test(http_client_faults, answer_that_stops_arriving_is_timed_out) {
+  // A server that goes silent must be noticed as soon as without an answer.
+  ClientHarness Harness{
+      always("HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\nsome")};
+  HttpCall Call = Harness.call();
+  Call.Timeout = 100ms;
+  Call.MaxStall = 200ms;
+  TimePoint SentAt = Harness.Loop.now();
+  cr_assert_not(Harness.answerTo(Call).complete());
+  Duration Elapsed = Harness.Loop.now() - SentAt;
+  cr_assert(Elapsed >= 200ms && Elapsed < 800ms, "%ld us",
+            static_cast<long>(Elapsed.count()));
+}
+
+Test(http_client_faults, answer_that_trickles_is_bounded) {
+  ScriptedReply Reply;
+  Reply.Bytes = "HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\n" +
+                std::string(100'000, 'x');
+  Reply.PartSize = 1;
+  Reply.PartInterval = 10ms;
+  ClientHarness Harness([&](const std::string &) { return Reply; });
+  HttpCall Call = Harness.call();
+  Call.Timeout = 100ms;
+  Call.MaxStall = 200ms;
+  Call.MaxDuration = 500ms;
+  TimePoint SentAt = Harness.Loop.now();
+  cr_assert_not(Harness.answerTo(Call).complete());
+  Duration Elapsed = Harness.Loop.now() - SentAt;
+  cr_assert(Elapsed >= 500ms && Elapsed < 1500ms, "%ld us",
+            static_cast<long>(Elapsed.count()));
+}
