--- a/src/edge/Http.h
+++ b/src/edge/Http.h
@@ -58,9 +58,10 @@
   HttpHeaders Headers;
   /// Error message of a call that failed.
   std::string Fault;
-  /// Bytes of the answer that arrived, head included, and when the last of them
-  /// was read. Set for calls that failed, too.
+  /// Bytes of the answer that arrived, head included, and when the first and
+  /// the last of them were read. Set for calls that failed, too.
   std::uint64_t BytesReceived = 0;
+  TimePoint FirstByteAt;
   TimePoint LastByteAt;
 
   bool complete() const { return Progress == CallProgress::CompleteAnswer; }
--- a/src/edge/HttpConnection.cpp
+++ b/src/edge/HttpConnection.cpp
@@ -77,6 +77,7 @@
   Answer = HttpCallResult();
   Complete = false;
   BytesReceived = 0;
+  FirstByteAt = TimePoint();
   LastByteAt = TimePoint();
   LengthKnown = false;
   HeaderName.clear();
@@ -126,8 +127,13 @@
   }
   if (Connected && Writable)
     flush();
-  if (Readable && receiveAvailable())
+  if (!Readable)
+    return;
+  std::uint64_t ReceivedBefore = BytesReceived;
+  if (receiveAvailable())
     Notify(*this);
+  else if (NotifyArrival && BytesReceived > ReceivedBefore)
+    NotifyArrival(*this);
 }
 
 bool HttpConnection::receiveAvailable() {
@@ -156,8 +162,10 @@
     return false;
   }
   auto Size = static_cast<std::size_t>(Count);
-  BytesReceived += Size;
   LastByteAt = Loop.now();
+  if (BytesReceived == 0)
+    FirstByteAt = LastByteAt;
+  BytesReceived += Size;
   std::size_t Parsed =
       http_parser_execute(&Parser, &parserSettings(), Buffer.data(), Size);
   http_errno Error = HTTP_PARSER_ERRNO(&Parser);
@@ -184,6 +192,7 @@
 HttpCallResult HttpConnection::takeAnswer() {
   HttpCallResult Result = std::move(Answer);
   Result.BytesReceived = BytesReceived;
+  Result.FirstByteAt = FirstByteAt;
   Result.LastByteAt = LastByteAt;
   if (Complete && LengthKnown) {
     Result.Progress = CallProgress::CompleteAnswer;
--- a/src/edge/HttpConnection.h
+++ b/src/edge/HttpConnection.h
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <functional>
 #include <string>
+#include <utility>
 
 #include <http_parser.h>
 
@@ -35,6 +36,8 @@
   /// True if nothing has arrived on this idle connection: neither the server's
   /// close nor stray bytes that would be taken for the next answer.
   bool quiet() const;
+  /// Calls \p Listener whenever bytes were read that do not end the exchange.
+  void onArrival(Listener Callback) { NotifyArrival = std::move(Callback); }
   /// Starts an exchange. Its end is reported from the loop, never within this
   /// call.
   void send(std::string Request);
@@ -51,6 +54,8 @@
   bool usable() const { return Usable; }
   /// True once a byte of the current answer has arrived.
   bool answerStarted() const { return BytesReceived > 0; }
+  /// The status of the current answer; zero until its head has arrived.
+  int answerStatus() const { return Answer.Status; }
   /// When the last byte of the current answer was read.
   TimePoint lastByteAt() const { return LastByteAt; }
 
@@ -74,6 +79,7 @@
   EventLoop &Loop;
   std::string Address;
   Listener Notify;
+  Listener NotifyArrival;
   int Socket = -1;
   bool Connected = false;
   bool Usable = true;
@@ -81,8 +87,10 @@
   /// An exchange is in progress.
   bool Busy = false;
   bool Complete = false;
-  /// Bytes of the current answer, and when the last of them was read.
+  /// Bytes of the current answer, and when the first and the last of them were
+  /// read.
   std::uint64_t BytesReceived = 0;
+  TimePoint FirstByteAt;
   TimePoint LastByteAt;
   /// The answer declares where it ends.
   bool LengthKnown = false;
--- a/src/pool/StoreWatch.cpp
+++ b/src/pool/StoreWatch.cpp
@@ -38,6 +38,10 @@
   list();
 }
 
+void StoreWatch::confirm(TimePoint AnsweredAt) {
+  ConfirmedAt = std::max(ConfirmedAt, std::min(AnsweredAt, Clock.now()));
+}
+
 void StoreWatch::callFailed() {
   if (std::exchange(Reachable, false))
     Log.write(LogLevel::Change, "store.watch.lost", {{"prefix", Prefix}});
@@ -76,7 +80,7 @@
     Revision = Result.AtRevision;
     // The list was requested after these revisions were written.
     Reported = std::max({Reported, Revision, Covered});
-    ConfirmedAt = Clock.now();
+    confirm(Result.AnsweredAt);
     Complete = true;
     for (auto &Callback : std::exchange(RefreshCallbacks, {}))
       Callback();
@@ -89,8 +93,10 @@
   std::uint64_t CallGeneration = Generation;
   // A watch call that an unresponsive store has dropped is only detected by
   // its timeout. Calls without a wait time detect the return of the store
-  // sooner.
-  Duration Wait = Reachable ? Timing.MaxWait : Duration::zero();
+  // sooner. They also confirm the view soon after an answer that took long to
+  // arrive.
+  bool Confirmed = Clock.now() - ConfirmedAt < Timing.MaxWait;
+  Duration Wait = Reachable && Confirmed ? Timing.MaxWait : Duration::zero();
   Store.watch({Prefix, Revision, Wait},
               [this, CallGeneration](const WatchResult &Result) {
                 if (CallGeneration == Generation)
@@ -135,7 +141,7 @@
   // Another call may have reported later changes in the meantime.
   StoreRevision Known = Revision;
   Revision = std::max(Revision, Result.AtRevision);
-  ConfirmedAt = Clock.now();
+  confirm(Result.AnsweredAt);
   for (const StoreEvent &Event : Result.Changes.Events) {
     if (Event.Revision <= Known)
       continue;
--- a/src/pool/StoreWatch.h
+++ b/src/pool/StoreWatch.h
@@ -86,6 +86,9 @@
   void checkLag();
   /// Asks for changes without a wait time, beside the call that waits.
   void askForChanges();
+  /// Records that the view is current as of an answer that began to arrive at
+  /// \p AnsweredAt.
+  void confirm(TimePoint AnsweredAt);
   void callFailed();
   void apply(const StoreEntry &Entry);
   void remove(const std::string &Key);
--- a/src/state/AsyncStore.h
+++ b/src/state/AsyncStore.h
@@ -57,6 +57,10 @@
   CallStatus Status = CallStatus::Unknown;
   std::vector<StoreEntry> Entries;
   StoreRevision AtRevision;
+  /// When the answer, or the first page of it, began to arrive. The store had
+  /// composed it by then; a large answer may take seconds to arrive.
+  /// TimePoint::max() if unknown.
+  TimePoint AnsweredAt = TimePoint::max();
 };
 
 struct WatchResult {
@@ -64,6 +68,8 @@
   EventsAnswer Changes;
   /// The revision after which the next watch continues.
   StoreRevision AtRevision;
+  /// As in ListResult.
+  TimePoint AnsweredAt = TimePoint::max();
 };
 
 struct LeaseResult {
