Count an answer that is arriving as a sign of life of the store

Cause: StoreHealth takes the store for unavailable when an answer is 0.6 s overdue, and knew nothing of answers on their way. While a large configuration arrives at a daemon whose other calls are few, submissions would be refused with 503 although the store answers.

Change: the store's client reports each part of an answer with status 200 that does not complete it; StoreHealth counts it as an answer. Refusals do not count.

--- a/src/edge/AsyncHttpClient.cpp
+++ b/src/edge/AsyncHttpClient.cpp
@@ -159,6 +159,13 @@
       auto OpenedConnection = std::make_unique<HttpConnection>(
           Loop, NewTransfer->Call.Address,
           [this](HttpConnection &Changed) { connectionChanged(Changed); });
+      OpenedConnection->onArrival([this](HttpConnection &Receiving) {
+        const ConnectionState &State = Connections.at(&Receiving);
+        constexpr int StatusOk = 200;
+        if (State.Current && State.Current->Call.OnArrival &&
+            Receiving.answerStatus() == StatusOk)
+          State.Current->Call.OnArrival();
+      });
       Connection = OpenedConnection.get();
       if (!Connection->open()) {
         reportLater(std::move(NewTransfer), Connection->takeAnswer());
--- a/src/edge/HttpClient.h
+++ b/src/edge/HttpClient.h
@@ -8,6 +8,7 @@
 #include "edge/Http.h"
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <string>
 
@@ -31,6 +32,9 @@
   Duration MaxStall{};
   /// Limit on the whole call if \ref MaxStall is set.
   Duration MaxDuration = std::chrono::minutes(1);
+  /// Called whenever a part of an answer with status 200 arrives that does not
+  /// complete it; may be empty. HttpClient ignores it.
+  std::function<void()> OnArrival;
   /// False if the request must not be sent twice. Such a call uses a new
   /// connection, because libcurl resends a request by itself when a reused
   /// connection turns out to be closed.
--- a/src/pool/StoreHealth.cpp
+++ b/src/pool/StoreHealth.cpp
@@ -27,8 +27,7 @@
   AnswersDue.erase(AnswersDue.find(Call.AnswerDue));
   Pending.erase(Found);
   if (Answered) {
-    LastAnswer = Now;
-    Failures = 0;
+    answerArriving(Now);
     return;
   }
   // A call that was due before the last answer says nothing about the time
@@ -41,6 +40,11 @@
   ++Failures;
 }
 
+void StoreHealth::answerArriving(TimePoint Now) {
+  LastAnswer = Now;
+  Failures = 0;
+}
+
 bool StoreHealth::available(TimePoint Now) const {
   if (Failures >= Limits.MaxFailures)
     return false;
--- a/src/pool/StoreHealth.h
+++ b/src/pool/StoreHealth.h
@@ -46,6 +46,10 @@
   /// Records the end of a call. A call that the store rejected was answered.
   void callEnded(CallNumber Number, bool Answered, TimePoint Now);
 
+  /// Records that a part of an answer has arrived. A store that is sending a
+  /// large answer is available.
+  void answerArriving(TimePoint Now);
+
   bool available(TimePoint Now) const;
   /// Returns the retry time for a caller that is rejected in an outage. It
   /// grows with the outage, and is spread by \p SpreadKey by up to its own
--- a/test/correctness/pool_store_health.cpp
+++ b/test/correctness/pool_store_health.cpp
@@ -117,3 +117,19 @@
   }
   cr_assert(Delays.size() >= 16);
 }
+
+Test(pool_store_health, arriving_answer_is_taken_for_an_outage) {
+  // A large answer over a slow link takes seconds to arrive.
+  StoreHealth Health;
+  auto Call = Health.callSent(Start, Start + 1s);
+  for (Duration Elapsed = 1s; Elapsed < 5s; Elapsed += 500ms) {
+    Health.answerArriving(Start + Elapsed);
+    cr_assert(Health.available(Start + Elapsed + 400ms));
+  }
+  Health.callEnded(Call, true, Start + 5s);
+  // One that has stopped arriving hides no outage.
+  Health.callSent(Start + 5s, Start + 5s);
+  Health.answerArriving(Start + 5100ms);
+  Health.callSent(Start + 6s, Start + 6s);
+  cr_assert_not(Health.available(Start + 6700ms));
+}
--- a/test/error/http_client_faults.cpp
+++ b/test/error/http_client_faults.cpp
@@ -281,3 +281,20 @@
   cr_assert(Elapsed >= 500ms && Elapsed < 1500ms, "%ld us",
             static_cast<long>(Elapsed.count()));
 }
+
+Test(http_client_faults, refusal_that_arrives_in_parts_is_no_progress) {
+  // An overloaded server that refuses slowly must not count as answering.
+  unsigned Arrivals = 0;
+  for (const char *Status : {"503 Busy", "200 OK"}) {
+    ScriptedReply Reply;
+    Reply.Bytes = std::string("HTTP/1.1 ") + Status +
+                  "\r\nContent-Length: 1000\r\n\r\n" + std::string(1000, 'x');
+    Reply.PartSize = 200;
+    Reply.PartInterval = 10ms;
+    ClientHarness Harness([&](const std::string &) { return Reply; });
+    HttpCall Call = Harness.call();
+    Call.OnArrival = [&Arrivals] { ++Arrivals; };
+    cr_assert(Harness.answerTo(Call).complete());
+    cr_assert_eq(Arrivals > 0, Status[0] == '2');
+  }
+}
