--- a/src/state/AsyncStore.h
+++ b/src/state/AsyncStore.h
@@ -6,6 +6,7 @@
 
 #include "state/Store.h"
 
+#include <cstddef>
 #include <functional>
 #include <optional>
 #include <string>
@@ -61,6 +62,8 @@
   /// composed it by then; a large answer may take seconds to arrive.
   /// TimePoint::max() if unknown.
   TimePoint AnsweredAt = TimePoint::max();
+  /// Items of the answer that could not be read and are left out.
+  std::size_t UnreadableItems = 0;
 };
 
 struct WatchResult {
@@ -70,6 +73,7 @@
   StoreRevision AtRevision;
   /// As in ListResult.
   TimePoint AnsweredAt = TimePoint::max();
+  std::size_t UnreadableItems = 0;
 };
 
 struct LeaseResult {
