Accept request bodies of the size that the configuration allows

Cause: the configuration's limit on bodies was decoded and not used; the server refused every body over 1 MiB with 413, whatever the configuration allows.

--- a/src/edge/AsyncHttpServer.cpp
+++ b/src/edge/AsyncHttpServer.cpp
@@ -181,6 +181,8 @@
                                  Handler HandleRequest)
     : Self(std::make_unique<Impl>(Loop, MaxBody, std::move(HandleRequest))) {}
 
+void AsyncHttpServer::setMaxBody(std::uint64_t Bytes) { Self->MaxBody = Bytes; }
+
 AsyncHttpServer::~AsyncHttpServer() {
   if (!Self->Daemon)
     return;
--- a/src/edge/AsyncHttpServer.h
+++ b/src/edge/AsyncHttpServer.h
@@ -30,6 +30,9 @@
   AsyncHttpServer(const AsyncHttpServer &) = delete;
   AsyncHttpServer &operator=(const AsyncHttpServer &) = delete;
 
+  /// Changes the limit on the body of requests that arrive from now on, in
+  /// bytes.
+  void setMaxBody(std::uint64_t Bytes);
   /// Listens on "host:port". Fails if the address is malformed or taken.
   Outcome<void> start(const std::string &Address, unsigned MaxConnections);
   /// Asks callers to close their connections after the next response.
