--- a/test/support/ScriptedServer.cpp
+++ b/test/support/ScriptedServer.cpp
@@ -78,11 +78,12 @@
   std::size_t Size = std::min(Reply.PartSize, Reply.Bytes.size() - Offset);
   send(Socket, Reply.Bytes.data() + Offset, Size, MSG_NOSIGNAL);
   Offset += Size;
-  if (Offset < Reply.Bytes.size())
+  if (Offset < Reply.Bytes.size()) {
     Loop.schedule(Reply.PartInterval,
                   [=, this] { sendPart(Socket, Connection, Reply, Offset); });
-  else if (Reply.CloseAfter)
+  } else if (Reply.CloseAfter) {
     closeConnection(Socket);
+  }
 }
 
 void ScriptedServer::closeConnection(int Socket) {
