--- a/src/edge/HttpConnection.h
+++ b/src/edge/HttpConnection.h
@@ -36,7 +36,7 @@
   /// True if nothing has arrived on this idle connection: neither the server's
   /// close nor stray bytes that would be taken for the next answer.
   bool quiet() const;
-  /// Calls \p Listener whenever bytes were read that do not end the exchange.
+  /// Calls \p Callback whenever bytes were read that do not end the exchange.
   void onArrival(Listener Callback) { NotifyArrival = std::move(Callback); }
   /// Starts an exchange. Its end is reported from the loop, never within this
   /// call.
--- a/src/state/AsyncStore.h
+++ b/src/state/AsyncStore.h
@@ -82,8 +82,9 @@
   Duration TimeToLive{};
 };
 
-/// Each call invokes its callback exactly once, on the event loop, within the
-/// call's timeout. A call that timed out may still take effect later.
+/// Each call invokes its callback exactly once, on the event loop: a write or
+/// lease call within its timeout, a read also later while its answer is
+/// arriving. A call that timed out may still take effect later.
 class AsyncStore {
 public:
   virtual ~AsyncStore() = default;
