--- a/test/error/http_client_faults.cpp
+++ b/test/error/http_client_faults.cpp
@@ -60,6 +60,17 @@
   return [Bytes](const std::string &) { return ScriptedReply{Bytes}; };
 }
 
+/// Checks that the call ends without a complete answer after at least \p Min
+/// and less than \p Max.
+void expectTimeout(ClientHarness &Harness, const HttpCall &Call, Duration Min,
+                   Duration Max) {
+  TimePoint SentAt = Harness.Loop.now();
+  cr_assert_not(Harness.answerTo(Call).complete());
+  Duration Elapsed = Harness.Loop.now() - SentAt;
+  cr_assert(Elapsed >= Min && Elapsed < Max, "%ld us",
+            static_cast<long>(Elapsed.count()));
+}
+
 } // namespace
 
 Test(http_client_faults, complete_answers_reuse_the_connection) {
@@ -257,11 +268,7 @@
   HttpCall Call = Harness.call();
   Call.Timeout = 100ms;
   Call.MaxStall = 200ms;
-  TimePoint SentAt = Harness.Loop.now();
-  cr_assert_not(Harness.answerTo(Call).complete());
-  Duration Elapsed = Harness.Loop.now() - SentAt;
-  cr_assert(Elapsed >= 200ms && Elapsed < 800ms, "%ld us",
-            static_cast<long>(Elapsed.count()));
+  expectTimeout(Harness, Call, 200ms, 800ms);
 }
 
 Test(http_client_faults, answer_that_trickles_is_bounded) {
@@ -275,11 +282,7 @@
   Call.Timeout = 100ms;
   Call.MaxStall = 200ms;
   Call.MaxDuration = 500ms;
-  TimePoint SentAt = Harness.Loop.now();
-  cr_assert_not(Harness.answerTo(Call).complete());
-  Duration Elapsed = Harness.Loop.now() - SentAt;
-  cr_assert(Elapsed >= 500ms && Elapsed < 1500ms, "%ld us",
-            static_cast<long>(Elapsed.count()));
+  expectTimeout(Harness, Call, 500ms, 1500ms);
 }
 
 Test(http_client_faults, refusal_that_arrives_in_parts_is_no_progress) {
