--- a/src/pool/PoolOwnerPass.cpp
+++ b/src/pool/PoolOwnerPass.cpp
@@ -286,7 +286,7 @@
   Scheduler->visitWorkers([this, Now](const RenewalState &State) {
     bool NoContact = State.Unresponsive || !State.HasReported;
     if (NoContact && State.HoldsRuns && Now > leasesEndBy(State))
-      Scheduler->leasesExpired(State.Worker->Id);
+      Scheduler->leasesExpired(State.Worker->Id, Now);
   });
 }
 
--- a/src/pool/PoolScheduler.h
+++ b/src/pool/PoolScheduler.h
@@ -160,7 +160,7 @@
   void stopAnswered(const StopOrder &Order, OrderResult Result, TimePoint Now);
   void paceAnswered(const PaceOrder &Order, OrderResult Result, TimePoint Now);
   /// Handles the expiry of all leases on the worker: its runs have ended.
-  void leasesExpired(const WorkerId &Id);
+  void leasesExpired(const WorkerId &Id, TimePoint Now);
 
   /// Places the tasks that fit and returns the orders that are due.
   PoolOrders runPass(TimePoint Now, WallTime Wall);
@@ -382,10 +382,13 @@
   /// Removes runs that the worker held before the report was requested and that
   /// the report does not list.
   void removeUnreportedRuns(WorkerState &Worker, const WorkerReport &Report,
-                            TimePoint SentAt);
+                            std::string_view Reason, TimePoint SentAt,
+                            TimePoint Now);
+  /// Handles the end of all runs for which the worker has received an order.
+  void loseAllRuns(WorkerState &Worker, std::string_view Reason, TimePoint Now);
   /// Removes runs that ended without a reported end.
   void removeLostRuns(WorkerState &Worker, const std::vector<RunKey> &Lost,
-                      std::string_view Reason);
+                      std::string_view Reason, TimePoint Now);
   static bool needsRecord(const Job &Owner);
   void finishJob(Job &Finished, JobStatus Status);
 
--- a/src/pool/PoolSchedulerReports.cpp
+++ b/src/pool/PoolSchedulerReports.cpp
@@ -78,14 +78,16 @@
   }
   if (Report.Result == OrderResult::OtherIncarnation) {
     // The incarnation that this entry names has ended, and its runs with it.
-    leasesExpired(Id);
+    loseAllRuns(Worker, "worker_replaced", Now);
     forgetSpeed(Worker);
     return;
   }
   bool Answered = Report.Result == OrderResult::Done;
   if (Worker.Unresponsive == Answered)
     Log.write(LogLevel::Change, Answered ? "worker.heard" : "worker.silent",
-              {{"worker", Id.str()}, {"result", resultName(Report.Result)}});
+              {{"worker", Id.str()},
+               {"result", resultName(Report.Result)},
+               {"fault", Report.Fault}});
   HealthCheckDue = HealthCheckDue || Worker.Unresponsive == Answered;
   Worker.Unresponsive = !Answered;
   if (!Answered)
@@ -109,7 +111,9 @@
   std::optional<double> WorstTail;
   for (const ReportedRun &Reported : Report.Running)
     WorstTail = std::max(WorstTail, updateRun(Worker, Reported, SentAt, Now));
-  removeUnreportedRuns(Worker, Report, SentAt);
+  removeUnreportedRuns(Worker, Report,
+                       Restarted ? "worker_restarted" : "not_reported", SentAt,
+                       Now);
   throttleBestEffort(Worker, WorstTail, Now);
 }
 
@@ -295,7 +299,8 @@
 
 void PoolScheduler::removeUnreportedRuns(WorkerState &Worker,
                                          const WorkerReport &Report,
-                                         TimePoint SentAt) {
+                                         std::string_view Reason,
+                                         TimePoint SentAt, TimePoint Now) {
   std::set<RunKey> Running;
   for (const ReportedRun &Reported : Report.Running)
     Running.emplace(Reported.Task, Reported.Run);
@@ -308,21 +313,34 @@
     if (!Running.contains(Key) && (WasPresent || HasStopped))
       Lost.push_back(Key);
   }
-  removeLostRuns(Worker, Lost, "not_reported");
+  removeLostRuns(Worker, Lost, Reason, Now);
 }
 
 void PoolScheduler::removeLostRuns(WorkerState &Worker,
                                    const std::vector<RunKey> &Lost,
-                                   std::string_view Reason) {
+                                   std::string_view Reason, TimePoint Now) {
+  std::size_t Present = Worker.Runs.size();
   for (const RunKey &Key : Lost) {
     auto Found = Worker.Runs.find(Key);
     if (Found == Worker.Runs.end())
       continue;
+    const PlacedRun &Run = Found->second;
+    // How long the run is known to have lasted; -1 if no report has listed it.
+    std::int64_t SeenMs =
+        Run.FirstPercent
+            ? std::chrono::duration_cast<std::chrono::milliseconds>(
+                  Run.ReportedAt - Run.OrderedAt)
+                  .count()
+            : -1;
     Log.write(LogLevel::Notice, "run.gone",
               {{"task", taskName(Key.first)},
                {"run", Key.second.value()},
                {"worker", Worker.Info.Id.str()},
-               {"reason", Found->second.StopRequested ? "stopped" : Reason}});
+               {"reason", Reason},
+               {"stopping", Run.StopRequested ? "yes" : "no"},
+               {"seen_ms", SeenMs},
+               {"runs_there", Present}});
+    reportSpan(PoolSpan::Lost, Now - Run.OrderedAt);
     GroupRef Ref = findGroup(Key.first);
     removeRun(Worker, Found);
     if (Ref.Group && Ref.Group->Run == Key.second &&
@@ -331,17 +349,21 @@
   }
 }
 
-void PoolScheduler::leasesExpired(const WorkerId &Id) {
-  auto Found = Workers.find(Id);
-  if (Found == Workers.end())
-    return;
-  Found->second.Unresponsive = true;
+void PoolScheduler::loseAllRuns(WorkerState &Worker, std::string_view Reason,
+                                TimePoint Now) {
+  Worker.Unresponsive = true;
   HealthCheckDue = true;
   std::vector<RunKey> Lost;
-  for (const auto &[Key, Run] : Found->second.Runs)
+  for (const auto &[Key, Run] : Worker.Runs)
     if (Run.Phase != RunPhase::Planned)
       Lost.push_back(Key);
-  removeLostRuns(Found->second, Lost, "lease_over");
+  removeLostRuns(Worker, Lost, Reason, Now);
+}
+
+void PoolScheduler::leasesExpired(const WorkerId &Id, TimePoint Now) {
+  auto Found = Workers.find(Id);
+  if (Found != Workers.end())
+    loseAllRuns(Found->second, "lease_over", Now);
 }
 
 PlacedRun *PoolScheduler::runOfOrder(const WorkerId &Worker,
--- a/src/pool/PoolSpan.h
+++ b/src/pool/PoolSpan.h
@@ -18,6 +18,9 @@
   Started,
   /// From the owner's receipt of a run's end to its commit to the store.
   Recorded,
+  /// From the first start order for a run to the time at which the owner knows
+  /// that the run was lost with its worker.
+  Lost,
 };
 
 constexpr std::string_view spanName(PoolSpan Span) {
@@ -28,6 +31,8 @@
     return "started";
   case PoolSpan::Recorded:
     return "recorded";
+  case PoolSpan::Lost:
+    return "lost";
   }
   return "unknown";
 }
--- a/src/pool/WorkerOrders.h
+++ b/src/pool/WorkerOrders.h
@@ -102,6 +102,8 @@
 struct WorkerReport {
   /// NoAnswer if no answer arrived.
   OrderResult Result = OrderResult::NoAnswer;
+  /// Error message of a call without an answer, as for a refused connection.
+  std::string Fault;
   Incarnation WorkerIncarnation;
   std::vector<ReportedRun> Running;
   std::vector<ReportedEnd> Ended;
