--- a/test/support/FakeWorkerPool.cpp
+++ b/test/support/FakeWorkerPool.cpp
@@ -97,11 +97,35 @@
   ++State.IncarnationNumber;
 }
 
+void FakeWorkerPool::replace(const WorkerId &Old, const WorkerId &NewId) {
+  Workers.at(Old).Replaced = true;
+  PoolWorker Info = Workers.at(Old).Info;
+  Info.Id = NewId;
+  add(Info);
+}
+
+void FakeWorkerPool::crashLater(const WorkerId &Id, const RunKey &Key,
+                                Duration Delay) {
+  Clock.scheduleAfter(Delay, [this, Id, Key, Crashing = incarnation(Id)] {
+    const Worker &State = Workers.at(Id);
+    if (!State.Up || State.IncarnationNumber != Crashing ||
+        !State.Runs.contains(Key))
+      return;
+    crash(Id);
+    Clock.scheduleAfter(RestartTime, [this, Id] {
+      if (ComesBack)
+        ComesBack(Id);
+      else
+        restart(Id);
+    });
+  });
+}
+
 OrderResult FakeWorkerPool::start(const StartOrder &Order, Epoch Token,
                                   TimePoint LeaseUntil, TimePoint SentAt) {
   Worker &State = Workers.at(Order.Worker);
   if (!State.Up)
-    return OrderResult::NoAnswer;
+    return resultOfAbsent(State);
   if (Token < State.Token)
     return OrderResult::Fenced;
   State.Token = Token;
@@ -131,11 +155,14 @@
     recordViolation("worker capacity exceeded by", Key);
   State.Runs[Key] = ++LastChangeNumber;
   ++Starts;
+  StartedTasks.push_back(Order.Task);
   FirstStarts.emplace(Order.Task.Job, Clock.now());
   StartTimes.emplace_back(Clock.now(), State.Info.Domain);
   if (Started)
     Started(Order.Task, SentAt);
   scheduleLeaseExpiry(Order.Worker);
+  if (Task.CrashesAfter)
+    crashLater(Order.Worker, Key, *Task.CrashesAfter);
   if (Task.GangSize > 0)
     joinGang(Order.Worker, Key, Task);
   else
@@ -262,7 +289,7 @@
 OrderResult FakeWorkerPool::stop(const StopOrder &Order, Epoch Token) {
   Worker &State = Workers.at(Order.Worker);
   if (!State.Up)
-    return OrderResult::NoAnswer;
+    return resultOfAbsent(State);
   if (Token < State.Token)
     return OrderResult::Fenced;
   State.Token = Token;
@@ -277,7 +304,7 @@
 OrderResult FakeWorkerPool::pace(const PaceOrder &Order, Epoch Token) {
   Worker &State = Workers.at(Order.Worker);
   if (!State.Up)
-    return OrderResult::NoAnswer;
+    return resultOfAbsent(State);
   if (Token < State.Token)
     return OrderResult::Fenced;
   RunKey Key(Order.Task, Order.Run);
@@ -324,8 +351,10 @@
                                    TimePoint LeaseUntil) {
   WorkerReport Report;
   Worker &State = Workers.at(Id);
-  if (!State.Up)
+  if (!State.Up) {
+    Report.Result = resultOfAbsent(State);
     return Report;
+  }
   if (Token < State.Token) {
     Report.Result = OrderResult::Fenced;
     return Report;
--- a/test/support/FakeWorkerPool.h
+++ b/test/support/FakeWorkerPool.h
@@ -10,6 +10,7 @@
 #include "pool/WorkerLink.h"
 #include "support/VirtualClock.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -31,6 +32,9 @@
   std::uint32_t GangSize = 0;
   /// True if the task fails instead of ending as done.
   bool Fails = false;
+  /// Time after its start at which the task crashes its worker; unset for a
+  /// task that does not.
+  std::optional<Duration> CrashesAfter;
   /// Tail response time of a task that serves users, without interference;
   /// zero for a task that serves no users.
   Duration TailLatency{};
@@ -46,6 +50,8 @@
   static constexpr Duration MaxLease = std::chrono::seconds(6);
   static constexpr Duration StopTime = std::chrono::milliseconds(300);
   static constexpr Duration GangTimeout = std::chrono::seconds(3);
+  /// Time after which a worker that a task has crashed is back.
+  static constexpr Duration RestartTime = std::chrono::seconds(3);
 
   explicit FakeWorkerPool(VirtualClock &Clock) : Clock(Clock) {}
 
@@ -56,6 +62,9 @@
   /// Called after each start of a task, with the time at which its order was
   /// sent; may be unset.
   std::function<void(const pool::TaskKey &, TimePoint SentAt)> Started;
+  /// Called when a worker that a task has crashed is due to come back. If
+  /// unset, it restarts under its id.
+  std::function<void(const WorkerId &)> ComesBack;
   /// Speeds relative to the run times of the behaviours; a worker that is not
   /// listed has speed 1. A gang advances at the pace of its slowest member.
   std::map<WorkerId, double> Speeds;
@@ -67,6 +76,9 @@
   void crash(const WorkerId &Id);
   /// Starts a new process without state under the same id.
   void restart(const WorkerId &Id);
+  /// Starts a new process under \p NewId at the address of the crashed worker
+  /// \p Old, whose calls it answers as another incarnation.
+  void replace(const WorkerId &Old, const WorkerId &NewId);
   bool up(const WorkerId &Id) const { return Workers.at(Id).Up; }
   std::uint64_t incarnation(const WorkerId &Id) const {
     return Workers.at(Id).IncarnationNumber;
@@ -88,6 +100,11 @@
 
   const std::vector<std::string> &violations() const { return Violations; }
   std::size_t starts() const { return Starts; }
+  /// Number of starts of a task.
+  std::size_t startsOf(const pool::TaskKey &Task) const {
+    return static_cast<std::size_t>(
+        std::count(StartedTasks.begin(), StartedTasks.end(), Task));
+  }
   std::size_t gangTimeouts() const { return GangTimeouts; }
   std::size_t ticketsRefused() const { return TicketsRefused; }
   /// Time at which the first task of a job started; nullopt if none did.
@@ -119,6 +136,8 @@
   struct Worker {
     pool::PoolWorker Info;
     bool Up = true;
+    /// Another process answers at the worker's address.
+    bool Replaced = false;
     std::uint64_t IncarnationNumber = 1;
     Epoch Token;
     TimePoint LeaseUntil;
@@ -151,6 +170,12 @@
   void advance(const WorkerId &Id, const pool::RunKey &Key, Duration RunTime);
   double speedOf(const WorkerId &Id) const;
   std::uint32_t percentOf(const Worker &State, const pool::RunKey &Key) const;
+  void crashLater(const WorkerId &Id, const pool::RunKey &Key, Duration Delay);
+  /// The answer of a worker that is not up.
+  static pool::OrderResult resultOfAbsent(const Worker &State) {
+    return State.Replaced ? pool::OrderResult::OtherIncarnation
+                          : pool::OrderResult::NoAnswer;
+  }
   void joinGang(const WorkerId &Id, const pool::RunKey &Key,
                 const TaskBehaviour &Task);
   void breakGang(const pool::RunKey &Key);
@@ -165,6 +190,7 @@
   std::set<pool::TaskKey> AcknowledgedDone;
   std::vector<std::string> Violations;
   std::vector<std::pair<TimePoint, DomainId>> StartTimes;
+  std::vector<pool::TaskKey> StartedTasks;
   std::map<JobId, TimePoint> FirstStarts;
   std::size_t Starts = 0;
   std::size_t GangTimeouts = 0;
