Add the evidence on which a task is blamed for crashes

CrashRecord holds the workers that were lost under the runs of a group and decides: a crash right after the start of a run speaks against its task, one at any other time can have any cause.

--- /dev/null
+++ b/src/pool/CrashRecord.cpp
@@ -0,0 +1,113 @@
+/// \file
+/// Implements CrashRecord.
+#include "pool/CrashRecord.h"
+
+#include <algorithm>
+#include <map>
+#include <set>
+#include <utility>
+
+namespace banyanworks::pool {
+
+namespace {
+
+/// Losses of one member, as far as they count.
+struct MemberLosses {
+  std::size_t Total = 0;
+  std::set<std::string> AddressesAtStart;
+  /// Also where the age of the run is not known.
+  std::set<std::string> AddressesUnclear;
+  bool OnlyStart = false;
+};
+
+} // namespace
+
+void CrashRecord::add(WorkerLoss Loss) { Losses.push_back(std::move(Loss)); }
+
+void CrashRecord::setKnownAt(TimePoint KnownAt) {
+  for (WorkerLoss &Loss : Losses)
+    Loss.KnownAt = KnownAt;
+}
+
+void CrashRecord::prove(const WorkerId &Worker) {
+  for (WorkerLoss &Loss : Losses)
+    Loss.Proven = Loss.Proven || Loss.Worker == Worker;
+}
+
+void CrashRecord::acquit(const WorkerId &Worker) {
+  std::erase_if(Losses, [&Worker](const WorkerLoss &Loss) {
+    return Loss.Worker == Worker;
+  });
+}
+
+bool CrashRecord::runReported(Duration Age) {
+  if (Age < StartWindow || Losses.empty())
+    return false;
+  if (Age >= ClearingAge) {
+    Losses.clear();
+    return true;
+  }
+  bool Cleared = isSuspect();
+  for (WorkerLoss &Loss : Losses)
+    Loss.Age = LossAge::Later;
+  return Cleared;
+}
+
+bool CrashRecord::isSuspect(std::optional<std::uint32_t> Member) const {
+  return std::any_of(
+      Losses.begin(), Losses.end(), [Member](const WorkerLoss &Loss) {
+        return Loss.speaksAgainstTask() && (!Member || Loss.Member == *Member);
+      });
+}
+
+bool CrashRecord::isGuilty(bool HasLimit, bool ProvenOnly) const {
+  std::map<std::uint32_t, MemberLosses> Members;
+  for (const WorkerLoss &Loss : Losses) {
+    if (ProvenOnly && !Loss.Proven)
+      continue;
+    MemberLosses &Counted = Members[Loss.Member];
+    ++Counted.Total;
+    if (Loss.Age == LossAge::Later || Loss.InOutage)
+      continue;
+    Counted.AddressesUnclear.insert(Loss.Address);
+    if (!Loss.speaksAgainstTask())
+      continue;
+    Counted.AddressesAtStart.insert(Loss.Address);
+    Counted.OnlyStart = Counted.OnlyStart || Loss.OnlyStart;
+  }
+  return std::any_of(
+      Members.begin(), Members.end(), [HasLimit](const auto &Entry) {
+        const MemberLosses &Counted = Entry.second;
+        return Counted.AddressesUnclear.size() >= MaxUnclearCrashesAtStart ||
+               (Counted.AddressesAtStart.size() >= MaxCrashesAtStart &&
+                Counted.OnlyStart) ||
+               (HasLimit && Counted.Total >= MaxLosses);
+      });
+}
+
+TimePoint CrashRecord::lastKnownAt() const {
+  TimePoint Last = TimePoint::min();
+  for (const WorkerLoss &Loss : Losses)
+    Last = std::max(Last, Loss.KnownAt);
+  return Last;
+}
+
+CrashVerdict CrashRecord::verdict(bool HasLimit, TimePoint Now) const {
+  if (Losses.empty())
+    return CrashVerdict::Unsuspected;
+  if (isGuilty(HasLimit, true))
+    return CrashVerdict::Guilty;
+  if (isGuilty(HasLimit, false)) {
+    // Beyond the limit, the group waits until its losses are proven.
+    bool AtLimit = HasLimit && Losses.size() >= MaxLosses;
+    if (AtLimit || Now < lastKnownAt() + HoldTime)
+      return CrashVerdict::Held;
+  }
+  return isSuspect() ? CrashVerdict::Suspected : CrashVerdict::Unsuspected;
+}
+
+bool CrashRecord::waitsForIsolation(TimePoint Now) const {
+  return isSuspect() && Now < lastKnownAt() + IsolationWait;
+}
+
+} // namespace banyanworks::pool
