Give up tasks that crash worker after worker

Cause: runs that are lost with their worker have no reported end, and only reported ends were counted. Class: work that is handed on after an end that nobody counts.

Change: each such loss is recorded with the group, in the record that outlives the owner; the incarnations of the workers are recorded for groups with losses, so that a successor recognizes the next crash. A suspected task is placed by itself, on a worker without other runs if there is one within 2 s, and nothing starts beside it until a report shows it 0.5 s old. The second proven crash at its start, on another VM, or the fifth loss of any kind ends its job as failed.

--- a/src/pool/JobProgress.cpp
+++ b/src/pool/JobProgress.cpp
@@ -71,8 +71,41 @@
   });
 }
 
+namespace {
+
+/// Encodes the losses of a group as a row that begins with the group's index.
+/// They stand beside the rows of the groups, where former versions expect
+/// workers.
+void encodeLosses(std::size_t GroupIndex, const CrashRecord &Crashes,
+                  json &Rows) {
+  for (const WorkerLoss &Loss : Crashes.losses())
+    Rows.push_back({GroupIndex, Loss.Member, Loss.Worker.str(), Loss.Address,
+                    Loss.Life.value(), static_cast<int>(Loss.Age),
+                    Loss.OnlyStart, Loss.InOutage, Loss.Proven});
+}
+
+WorkerLoss decodeLoss(const json &Row) {
+  WorkerLoss Loss;
+  Loss.Member = Row.at(1).get<std::uint32_t>();
+  Loss.Worker = WorkerId(Row.at(2).get<std::string>());
+  Loss.Address = Row.at(3).get<std::string>();
+  Loss.Life = Incarnation(Row.at(4).get<std::uint64_t>());
+  int Age = Row.at(5).get<int>();
+  if (Age < 0 || Age > static_cast<int>(LossAge::AtStart))
+    throw std::invalid_argument("unknown age of a lost run");
+  Loss.Age = static_cast<LossAge>(Age);
+  Loss.OnlyStart = Row.at(6).get<bool>();
+  Loss.InOutage = Row.at(7).get<bool>();
+  Loss.Proven = Row.at(8).get<bool>();
+  return Loss;
+}
+
+} // namespace
+
 std::string JobProgress::encode() const {
   json Rows = json::array();
+  json Losses = json::array();
+  json Lives = json::array();
   for (std::size_t GroupIndex = 0; GroupIndex < Groups.size(); ++GroupIndex) {
     const TaskGroup &Group = Groups[GroupIndex];
     if (Group.Run == RunNumber())
@@ -87,8 +120,19 @@
       for (const WorkerId &Worker : Group.Workers)
         Row.push_back(Worker.str());
     Rows.push_back(std::move(Row));
+    if (Group.State == GroupState::Done || Group.Crashes.empty())
+      continue;
+    encodeLosses(GroupIndex, Group.Crashes, Losses);
+    json LivesRow = {GroupIndex};
+    for (Incarnation Life : Group.Lives)
+      LivesRow.push_back(Life.value());
+    Lives.push_back(std::move(LivesRow));
   }
   json Record = {{"groups", std::move(Rows)}};
+  if (!Losses.empty()) {
+    Record["losses"] = std::move(Losses);
+    Record["lives"] = std::move(Lives);
+  }
   if (Failed)
     Record["failed"] = true;
   return Record.dump();
@@ -116,6 +160,14 @@
         throw std::invalid_argument(
             "active task group does not list a worker for each member");
     }
+    for (const json &Row : Record.value("losses", json::array()))
+      Result.Groups.at(Row.at(0).get<std::size_t>())
+          .Crashes.add(decodeLoss(Row));
+    for (const json &Row : Record.value("lives", json::array())) {
+      TaskGroup &Group = Result.Groups.at(Row.at(0).get<std::size_t>());
+      for (std::size_t Column = 1; Column < Row.size(); ++Column)
+        Group.Lives.emplace_back(Row[Column].get<std::uint64_t>());
+    }
     return Result;
   });
 }
--- a/src/pool/JobProgress.h
+++ b/src/pool/JobProgress.h
@@ -4,6 +4,7 @@
 #ifndef BANYANWORKS_POOL_JOBPROGRESS_H
 #define BANYANWORKS_POOL_JOBPROGRESS_H
 
+#include "pool/CrashRecord.h"
 #include "pool/JobSpec.h"
 #include "pool/JobStatus.h"
 #include "pool/TaskKey.h"
@@ -35,8 +36,13 @@
   std::uint32_t Failures = 0;
   RunNumber LastFailed;
   std::string Checkpoint;
+  /// Workers that were lost under runs of the group.
+  CrashRecord Crashes;
   /// Workers on which the members of the newest run were placed.
   std::vector<WorkerId> Workers;
+  /// The incarnations of these workers. Stored only if workers were lost under
+  /// the group, so that a successor recognizes the next crash.
+  std::vector<Incarnation> Lives;
   /// Number of runs of the group, of any run number, that may still be on a
   /// worker. Not stored.
   std::uint32_t LiveRuns = 0;
--- a/src/pool/PoolScheduler.cpp
+++ b/src/pool/PoolScheduler.cpp
@@ -66,6 +66,8 @@
     forgetSpeed(State);
   State.Info = Worker;
   State.Listed = true;
+  for (const SilentWorker &Lost : Silent.takeReplaced(Worker))
+    settleLosses(Lost, true, "worker_replaced", Now);
   HealthCheckDue = true;
   Renewals.insert(Worker.Id);
 }
@@ -131,6 +133,9 @@
       Worker.Info.Id = Group.Workers[Member];
       PlacedRun Run = runOfStep(Added, Spec.Steps[Group.Step]);
       Run.Phase = RunPhase::Inherited;
+      Run.Inherited = true;
+      if (Member < Group.Lives.size())
+        Run.Life = Group.Lives[Member];
       if (Spec.Steps[Group.Step].FillsIdle)
         Run.ConfirmedPacePercent.reset();
       Run.OrderedAt = Now;
@@ -141,6 +146,7 @@
       ++Added.LiveRuns;
     }
   }
+  restoreLosses(Added, Now);
   // The earlier owner may not have recorded the job's failed status.
   if (Added.Progress.hasFailed())
     finishJob(Added, JobStatus::Failed);
@@ -162,6 +168,7 @@
       Old.Version != Old.CommittedVersion)
     return false;
   Jobs.erase(Found);
+  JobsWithLosses.erase(Id);
   Unrecorded.erase(Id);
   Advice.eraseJob(Id);
   return true;
@@ -262,6 +269,8 @@
   Usage.removeRun(Run->second.Workspace, Run->second.Charged);
   Renewals.insert(Worker.Info.Id);
   TaskKey Task = Run->first.first;
+  if (Worker.SuspectRun == Run->first)
+    Worker.SuspectRun.reset();
   Worker.Runs.erase(Run);
   GroupRef Ref = findGroup(Task);
   if (!Ref.Group)
--- a/src/pool/PoolScheduler.h
+++ b/src/pool/PoolScheduler.h
@@ -9,6 +9,7 @@
 #include "pool/GangReservation.h"
 #include "pool/GuaranteeUse.h"
 #include "pool/JobProgress.h"
+#include "pool/OutageDetector.h"
 #include "pool/PoolConfiguration.h"
 #include "pool/PoolLoad.h"
 #include "pool/PoolSpan.h"
@@ -16,6 +17,7 @@
 #include "pool/ReclaimHolds.h"
 #include "pool/ReclaimPlan.h"
 #include "pool/RunTable.h"
+#include "pool/SilentLosses.h"
 #include "pool/SlowdownDetector.h"
 #include "pool/StopCost.h"
 #include "pool/TaskFailures.h"
@@ -202,6 +204,10 @@
   }
   /// Number of jobs that are neither final nor started.
   std::size_t waitingJobs() const;
+  /// Number of tasks that are suspected to crash workers.
+  std::size_t suspectedTasks() const;
+  /// Number of tasks that this owner has given up because they crash workers.
+  std::size_t tasksGivenUp() const { return TasksGivenUp; }
   /// Number of listed workers by speed class.
   std::array<std::size_t, SpeedClasses> workersByClass() const;
 
@@ -241,6 +247,8 @@
     /// Earliest time at which a draining worker may leave.
     TimePoint LeavesAt = TimePoint::max();
     bool Unresponsive = false;
+    /// When the worker last became unresponsive.
+    TimePoint SilentSince;
     bool HasReported = false;
     Incarnation WorkerIncarnation;
     Resources Allocated;
@@ -266,6 +274,9 @@
     bool InReserve = false;
     /// Resources that are kept for urgent jobs while runs are stopped.
     ReclaimHolds Holds;
+    /// The newest run of a suspected task; nothing else starts beside it until
+    /// the suspicion is cleared.
+    std::optional<RunKey> SuspectRun;
   };
   /// The waiting groups of one step of a job, with the criteria of their order.
   struct StepCandidate {
@@ -283,6 +294,10 @@
     std::uint32_t Lateness = 0;
     /// Urgent work of a workspace whose demand is within its guarantee.
     bool Guaranteed = false;
+    /// A single group that is suspected to crash workers.
+    bool Suspected = false;
+    /// The group waits for a worker without other runs.
+    bool Isolated = false;
     /// Time since the job was due.
     Duration WaitTime{};
     /// Time until LatestStart; negative if it is past.
@@ -310,6 +325,16 @@
     /// interchangeable with them.
     std::optional<ReclaimHolds::Hold> Own;
   };
+  /// Why the owner takes runs for lost with their worker.
+  enum class LossCause : std::uint8_t {
+    /// Another incarnation answers at the worker's address.
+    Replaced,
+    /// The worker reports another incarnation.
+    Restarted,
+    LeaseOver,
+    /// The worker lives and does not list the run.
+    NotReported,
+  };
   struct GroupRef {
     Job *Owner = nullptr;
     TaskGroup *Group = nullptr;
@@ -382,13 +407,32 @@
   /// Removes runs that the worker held before the report was requested and that
   /// the report does not list.
   void removeUnreportedRuns(WorkerState &Worker, const WorkerReport &Report,
-                            std::string_view Reason, TimePoint SentAt,
-                            TimePoint Now);
+                            TimePoint SentAt, TimePoint Now);
   /// Handles the end of all runs for which the worker has received an order.
-  void loseAllRuns(WorkerState &Worker, std::string_view Reason, TimePoint Now);
+  void loseAllRuns(WorkerState &Worker, LossCause Cause, TimePoint Now);
   /// Removes runs that ended without a reported end.
   void removeLostRuns(WorkerState &Worker, const std::vector<RunKey> &Lost,
-                      std::string_view Reason, TimePoint Now);
+                      LossCause Cause, TimePoint Now);
+  static std::string_view causeName(LossCause Cause);
+  /// Records the loss of the worker with the groups of the runs, and gives up
+  /// those that are to blame for it.
+  void recordLosses(const WorkerState &Worker, const std::vector<RunKey> &Lost,
+                    LossCause Cause, TimePoint Now);
+  /// Takes over the losses that earlier owners recorded.
+  void restoreLosses(Job &Restored, TimePoint Now);
+  /// Whether another worker is listed at the address of a lost one.
+  bool isReplaced(const WorkerLoss &Loss) const;
+  /// Records whether a worker that was lost without proof has crashed.
+  void settleLosses(const SilentWorker &Lost, bool Crashed,
+                    std::string_view Evidence, TimePoint Now);
+  /// Handles a worker that has become unresponsive.
+  void workerSilent(WorkerState &Worker, TimePoint Now);
+  /// Settles the loss of a worker that has answered.
+  void settleAnswered(const WorkerId &Id, Incarnation Life, TimePoint Now);
+  static CrashVerdict crashVerdict(const Job &Owner, const TaskGroup &Group,
+                                   TimePoint Now);
+  /// Fails the job if the group is guilty.
+  void giveUpIfGuilty(Job &Owner, const TaskGroup &Group, TimePoint Now);
   static bool needsRecord(const Job &Owner);
   void finishJob(Job &Finished, JobStatus Status);
 
@@ -404,9 +448,17 @@
                                                   std::uint32_t Occurrence,
                                                   std::uint32_t Step,
                                                   WallTime Wall);
+  /// Returns a suspected group of the step that may start now; nothing while
+  /// another one has yet to be cleared.
+  static std::optional<StepCandidate> suspectOf(Job &Owner,
+                                                std::uint32_t Occurrence,
+                                                std::uint32_t Step,
+                                                TimePoint Now, WallTime Wall);
+  static StepCandidate describeCandidate(Job &Owner, TaskGroup &FirstWaiting,
+                                         WallTime Wall);
   /// Lists the waiting groups of a candidate.
   static void listWaitingGroups(StepCandidate &Candidate);
-  std::vector<StepCandidate> candidates(WallTime Wall);
+  std::vector<StepCandidate> candidates(TimePoint Now, WallTime Wall);
   /// Returns the workers with free resources for at least one task of the
   /// request.
   std::vector<PlacementTarget> placementTargets(const StepCandidate &Candidate,
@@ -567,6 +619,11 @@
   UrgentReserve Reserve;
   WorkerSpeeds Speeds;
   TaskFailures Failures;
+  SilentLosses Silent;
+  OutageDetector Outages;
+  /// Jobs with groups under which workers were lost.
+  std::set<JobId> JobsWithLosses;
+  std::size_t TasksGivenUp = 0;
   /// Accelerators demanded and held by urgent work of each workspace in this
   /// pass; only while urgent work waits.
   std::optional<GuaranteeUse> UrgentUse;
--- a/src/pool/PoolSchedulerPass.cpp
+++ b/src/pool/PoolSchedulerPass.cpp
@@ -25,6 +25,11 @@
   return Group.State == GroupState::Waiting && Group.LiveRuns == 0;
 }
 
+/// Whether a group waits for placement and may start beside other work.
+bool startsFreely(const TaskGroup &Group) {
+  return isWaiting(Group) && !Group.Crashes.placedByItself();
+}
+
 } // namespace
 
 bool PoolScheduler::acceptsWork(const WorkerState &Worker) const {
@@ -101,12 +106,42 @@
 PoolScheduler::candidateOf(Job &Owner, std::uint32_t Occurrence,
                            std::uint32_t Step, WallTime Wall) {
   std::span<TaskGroup> Groups = Owner.Progress.groupsOf(Occurrence, Step);
-  auto First = std::find_if(Groups.begin(), Groups.end(), isWaiting);
+  auto First = std::find_if(Groups.begin(), Groups.end(), startsFreely);
   if (First == Groups.end() || !Owner.Progress.isReady(Owner.Spec, *First))
     return std::nullopt;
+  return describeCandidate(Owner, *First, Wall);
+}
+
+std::optional<PoolScheduler::StepCandidate>
+PoolScheduler::suspectOf(Job &Owner, std::uint32_t Occurrence,
+                         std::uint32_t Step, TimePoint Now, WallTime Wall) {
+  TaskGroup *First = nullptr;
+  for (TaskGroup &Group : Owner.Progress.groupsOf(Occurrence, Step)) {
+    if (!Group.Crashes.placedByItself())
+      continue;
+    if (Group.State == GroupState::Active && Group.Crashes.isSuspect())
+      return std::nullopt;
+    if (!First && isWaiting(Group) &&
+        crashVerdict(Owner, Group, Now) != CrashVerdict::Held)
+      First = &Group;
+  }
+  if (!First || !Owner.Progress.isReady(Owner.Spec, *First))
+    return std::nullopt;
+  StepCandidate Result = describeCandidate(Owner, *First, Wall);
+  Result.Suspected = true;
+  Result.Isolated =
+      First->Members == 1 && First->Crashes.waitsForIsolation(Now);
+  return Result;
+}
+
+PoolScheduler::StepCandidate
+PoolScheduler::describeCandidate(Job &Owner, TaskGroup &FirstWaiting,
+                                 WallTime Wall) {
+  std::uint32_t Occurrence = FirstWaiting.Occurrence;
+  std::uint32_t Step = FirstWaiting.Step;
   StepCandidate Result;
   Result.Owner = &Owner;
-  Result.FirstWaiting = &*First;
+  Result.FirstWaiting = &FirstWaiting;
   Result.Step = &Owner.Spec.Steps[Step];
   Result.Terms = Owner.Terms;
   WallTime Due = Owner.Spec.dueAt(Occurrence);
@@ -124,16 +159,27 @@
 
 void PoolScheduler::listWaitingGroups(StepCandidate &Candidate) {
   Candidate.Groups.clear();
+  if (Candidate.Suspected) {
+    if (isWaiting(*Candidate.FirstWaiting))
+      Candidate.Groups.push_back(Candidate.FirstWaiting);
+    return;
+  }
   for (TaskGroup &Group : Candidate.Owner->Progress.groupsOf(
            Candidate.FirstWaiting->Occurrence, Candidate.FirstWaiting->Step))
-    if (isWaiting(Group))
+    if (startsFreely(Group))
       Candidate.Groups.push_back(&Group);
 }
 
 std::vector<PoolScheduler::StepCandidate>
-PoolScheduler::candidates(WallTime Wall) {
+PoolScheduler::candidates(TimePoint Now, WallTime Wall) {
   std::vector<StepCandidate> Result;
   bool Urgent = false;
+  auto Add = [&](std::optional<StepCandidate> Candidate) {
+    if (!Candidate)
+      return;
+    Urgent = Urgent || Candidate->Terms->Priority == 0;
+    Result.push_back(std::move(*Candidate));
+  };
   for (auto &[Id, Waiting] : Jobs) {
     if (isFinal(Waiting.Status) || Waiting.WaitingGroups == 0)
       continue;
@@ -143,11 +189,9 @@
       if (Spec.isScheduled() && Wall < Spec.dueAt(Occurrence))
         break;
       for (std::uint32_t Step = 0; Step < Spec.Steps.size(); ++Step) {
-        auto Candidate = candidateOf(Waiting, Occurrence, Step, Wall);
-        if (!Candidate)
-          continue;
-        Urgent = Urgent || Candidate->Terms->Priority == 0;
-        Result.push_back(std::move(*Candidate));
+        Add(candidateOf(Waiting, Occurrence, Step, Wall));
+        if (JobsWithLosses.contains(Id))
+          Add(suspectOf(Waiting, Occurrence, Step, Now, Wall));
       }
     }
   }
@@ -204,6 +248,7 @@
     const WorkerState &Worker = *Available.Worker;
     if (isRisky(Worker, Candidate) ||
         (!Urgent && Worker.InReserve && !MayUseReserve) ||
+        (Candidate.Isolated && !Worker.Runs.empty()) || Worker.SuspectRun ||
         !eligible(Worker, Candidate, Now))
       continue;
     PlacementTarget Target;
@@ -217,6 +262,8 @@
       Target.Free = Reservation->usableResources(Worker.Info.Id, Target.Free,
                                                  Candidate.Step->Estimate);
     Target.Penalty = Worker.FailedJobs == 0 ? 0 : 1;
+    if (Candidate.Suspected && !Worker.Runs.empty())
+      ++Target.Penalty;
     if (Candidate.Step->FillsIdle && !hasIdleCpuFor(Worker, *Candidate.Step))
       ++Target.Penalty;
     if (Candidate.Step->MaxPerWorker != 0) {
@@ -251,14 +298,19 @@
         ChosenWorkers.begin() + static_cast<std::ptrdiff_t>(NextWorker),
         ChosenWorkers.begin() +
             static_cast<std::ptrdiff_t>(NextWorker + Group->Members));
+    Group->Lives.clear();
     for (std::uint32_t Member = 0; Member < Group->Members;
          ++Member, ++NextWorker) {
       TaskKey Task = Group->task(Candidate.Owner->Spec.Id, Member);
       WorkerState &Worker = Workers.at(ChosenWorkers[NextWorker]);
       PlacedRun Run = runOfStep(*Candidate.Owner, *Candidate.Step);
       Run.PlannedVersion = Candidate.Owner->Version;
+      Run.Life = Worker.WorkerIncarnation;
+      Group->Lives.push_back(Run.Life);
       Run.OrderedAt = Now;
       addRun(Worker, RunKey(Task, Group->Run), Run);
+      if (Group->Crashes.isSuspect(Member))
+        Worker.SuspectRun = RunKey(Task, Group->Run);
       Worker.Holds.recordPlacement(Candidate.Owner->Spec.Id, Run.Allocated);
       WorkersWithPendingOrders.insert(ChosenWorkers[NextWorker]);
       Renewals.insert(ChosenWorkers[NextWorker]);
@@ -421,7 +473,7 @@
       placementTargets(Candidate, Request, Now);
   std::vector<std::size_t> ChosenTargets = placeTasks(Request, Targets);
   if (ChosenTargets.empty()) {
-    if (!Candidate.Terms->Advice)
+    if (!Candidate.Terms->Advice && !Candidate.Suspected)
       FailedPlacements.push_back(failedRequest(Request, Candidate));
     return false;
   }
@@ -482,7 +534,7 @@
       std::exchange(Reservation, std::nullopt);
   std::set<JobId> AtCap;
   bool ReserveUpdated = false;
-  for (StepCandidate &Candidate : candidates(Wall)) {
+  for (StepCandidate &Candidate : candidates(Now, Wall)) {
     bool Urgent = Candidate.Terms->Priority == 0;
     // Urgent steps come first, so the reserve is chosen from the resources that
     // they left free.
@@ -503,6 +555,8 @@
       listWaitingGroups(Candidate);
     JobId Id = Candidate.Owner->Spec.Id;
     bool Reclaiming = ReclaimingJobs.contains(Id);
+    if (Candidate.Isolated)
+      continue;
     if (!Placed && Urgent && !Reclaiming)
       Placed = reclaim(Candidate, PrefersOneRack, Now, Wall);
     if (!Placed && PrefersOneRack && !Reclaiming) {
@@ -535,6 +589,12 @@
     HealthCheckedAt = Now;
     removeGoneWorkers();
     Failures.expire(Now);
+    auto IsListed = [this](const WorkerId &Id) {
+      auto Found = Workers.find(Id);
+      return Found != Workers.end() && Found->second.Listed;
+    };
+    for (const SilentWorker &Lost : Silent.takeGone(Now, IsListed))
+      settleLosses(Lost, true, "not_heard_of", Now);
     for (auto &[Id, Worker] : Workers)
       Worker.FailedJobs = Failures.failedJobs(Id);
     evacuateDraining(Now);
--- a/src/pool/PoolSchedulerReports.cpp
+++ b/src/pool/PoolSchedulerReports.cpp
@@ -78,7 +78,7 @@
   }
   if (Report.Result == OrderResult::OtherIncarnation) {
     // The incarnation that this entry names has ended, and its runs with it.
-    loseAllRuns(Worker, "worker_replaced", Now);
+    loseAllRuns(Worker, LossCause::Replaced, Now);
     forgetSpeed(Worker);
     return;
   }
@@ -89,9 +89,12 @@
                {"result", resultName(Report.Result)},
                {"fault", Report.Fault}});
   HealthCheckDue = HealthCheckDue || Worker.Unresponsive == Answered;
+  if (!Answered && !Worker.Unresponsive)
+    workerSilent(Worker, Now);
   Worker.Unresponsive = !Answered;
   if (!Answered)
     return;
+  settleAnswered(Id, Report.WorkerIncarnation, Now);
   bool Restarted = Worker.HasReported &&
                    Report.WorkerIncarnation != Worker.WorkerIncarnation;
   if (Restarted) {
@@ -111,9 +114,7 @@
   std::optional<double> WorstTail;
   for (const ReportedRun &Reported : Report.Running)
     WorstTail = std::max(WorstTail, updateRun(Worker, Reported, SentAt, Now));
-  removeUnreportedRuns(Worker, Report,
-                       Restarted ? "worker_restarted" : "not_reported", SentAt,
-                       Now);
+  removeUnreportedRuns(Worker, Report, SentAt, Now);
   throttleBestEffort(Worker, WorstTail, Now);
 }
 
@@ -251,6 +252,9 @@
     Run.Phase = RunPhase::Confirmed;
     Run.ConfirmedAt = SentAt;
   }
+  if (Worker.SuspectRun == Key &&
+      Now - Run.ConfirmedAt >= CrashRecord::StartWindow)
+    Worker.SuspectRun.reset();
   const StepSpec *Step =
       Ref.Group ? &Ref.Owner->Spec.Steps[Reported.Task.Step] : nullptr;
   // The speed of a best-effort task depends on the idle processor time and its
@@ -266,9 +270,16 @@
     Run.FirstPercent = Reported.Percent;
     Run.FirstReportedAt = Now;
   }
-  if (Ref.Group && Ref.Group->Run == Reported.Run &&
-      !Reported.Checkpoint.empty())
-    Ref.Group->Checkpoint = Reported.Checkpoint;
+  if (Ref.Group && Ref.Group->Run == Reported.Run) {
+    if (!Reported.Checkpoint.empty())
+      Ref.Group->Checkpoint = Reported.Checkpoint;
+    if (Ref.Group->Crashes.runReported(Now - Run.ConfirmedAt)) {
+      Log.write(LogLevel::Notice, "task.cleared",
+                {{"task", taskName(Reported.Task)},
+                 {"run", Reported.Run.value()},
+                 {"reason", "outlived_its_start"}});
+    }
+  }
   if (!Step || !Step->servesUsers())
     return std::nullopt;
   return Reported.TailMs / 1000.0 / toSeconds(Step->TailTarget);
@@ -299,26 +310,31 @@
 
 void PoolScheduler::removeUnreportedRuns(WorkerState &Worker,
                                          const WorkerReport &Report,
-                                         std::string_view Reason,
                                          TimePoint SentAt, TimePoint Now) {
   std::set<RunKey> Running;
   for (const ReportedRun &Reported : Report.Running)
     Running.emplace(Reported.Task, Reported.Run);
-  std::vector<RunKey> Lost;
+  std::vector<RunKey> Unreported;
+  std::vector<RunKey> OfEarlierLife;
   for (const auto &[Key, Run] : Worker.Runs) {
     bool WasPresent =
         Run.Phase == RunPhase::Inherited ||
         (Run.Phase == RunPhase::Confirmed && Run.ConfirmedAt < SentAt);
     bool HasStopped = Run.StopConfirmedAt && *Run.StopConfirmedAt < SentAt;
-    if (!Running.contains(Key) && (WasPresent || HasStopped))
-      Lost.push_back(Key);
+    if (Running.contains(Key) || (!WasPresent && !HasStopped))
+      continue;
+    bool Restarted =
+        Run.Life != Incarnation() && Run.Life != Report.WorkerIncarnation;
+    (Restarted ? OfEarlierLife : Unreported).push_back(Key);
   }
-  removeLostRuns(Worker, Lost, Reason, Now);
+  removeLostRuns(Worker, Unreported, LossCause::NotReported, Now);
+  removeLostRuns(Worker, OfEarlierLife, LossCause::Restarted, Now);
 }
 
 void PoolScheduler::removeLostRuns(WorkerState &Worker,
                                    const std::vector<RunKey> &Lost,
-                                   std::string_view Reason, TimePoint Now) {
+                                   LossCause Cause, TimePoint Now) {
+  recordLosses(Worker, Lost, Cause, Now);
   std::size_t Present = Worker.Runs.size();
   for (const RunKey &Key : Lost) {
     auto Found = Worker.Runs.find(Key);
@@ -329,14 +345,14 @@
     std::int64_t SeenMs =
         Run.FirstPercent
             ? std::chrono::duration_cast<std::chrono::milliseconds>(
-                  Run.ReportedAt - Run.OrderedAt)
+                  Run.ReportedAt - Run.ConfirmedAt)
                   .count()
             : -1;
     Log.write(LogLevel::Notice, "run.gone",
               {{"task", taskName(Key.first)},
                {"run", Key.second.value()},
                {"worker", Worker.Info.Id.str()},
-               {"reason", Reason},
+               {"reason", causeName(Cause)},
                {"stopping", Run.StopRequested ? "yes" : "no"},
                {"seen_ms", SeenMs},
                {"runs_there", Present}});
@@ -349,21 +365,23 @@
   }
 }
 
-void PoolScheduler::loseAllRuns(WorkerState &Worker, std::string_view Reason,
+void PoolScheduler::loseAllRuns(WorkerState &Worker, LossCause Cause,
                                 TimePoint Now) {
+  if (!Worker.Unresponsive)
+    workerSilent(Worker, Now);
   Worker.Unresponsive = true;
   HealthCheckDue = true;
   std::vector<RunKey> Lost;
   for (const auto &[Key, Run] : Worker.Runs)
     if (Run.Phase != RunPhase::Planned)
       Lost.push_back(Key);
-  removeLostRuns(Worker, Lost, Reason, Now);
+  removeLostRuns(Worker, Lost, Cause, Now);
 }
 
 void PoolScheduler::leasesExpired(const WorkerId &Id, TimePoint Now) {
   auto Found = Workers.find(Id);
   if (Found != Workers.end())
-    loseAllRuns(Found->second, "lease_over", Now);
+    loseAllRuns(Found->second, LossCause::LeaseOver, Now);
 }
 
 PlacedRun *PoolScheduler::runOfOrder(const WorkerId &Worker,
--- a/src/pool/RunTable.h
+++ b/src/pool/RunTable.h
@@ -37,6 +37,11 @@
   WorkspaceId Workspace;
   Resources Charged;
   RunPhase Phase = RunPhase::Planned;
+  /// An earlier owner ordered the run, at an unknown time.
+  bool Inherited = false;
+  /// The incarnation of the worker that the run was ordered from; zero if it is
+  /// not known.
+  Incarnation Life;
   /// Version of the job that has to be recorded before the first order.
   std::uint64_t PlannedVersion = 0;
   /// When the worker confirmed the run.
--- a/test/error/pool_deadly_tasks.cpp
+++ b/test/error/pool_deadly_tasks.cpp
@@ -58,3 +58,80 @@
   cr_assert_leq(Starts, MaxStarts, "%zu starts", Starts);
   cr_assert(Simulation.visibleStatus(JobId(1)) == JobStatus::Failed);
 }
+
+Test(pool_deadly_tasks, deadly_task_is_given_up_where_workers_come_back_anew) {
+  PoolSimulation Simulation(7, 3, 2);
+  addDeadlyTask(Simulation);
+  int Replacements = 0;
+  Simulation.Pool.ComesBack = [&](const WorkerId &Old) {
+    WorkerId New("n" + std::to_string(Replacements++));
+    Simulation.Pool.replace(Old, New);
+    Simulation.unlistWorker(Old);
+    Simulation.listWorker(New);
+  };
+  Simulation.runFor(2s);
+  Simulation.submit(0, Simulation.job(1, 1, 4, false, 5s));
+  Simulation.runFor(60s);
+  std::size_t Starts = Simulation.Pool.startsOf(Deadly);
+  cr_assert_leq(Starts, MaxStarts, "%zu starts", Starts);
+  cr_assert(Simulation.visibleStatus(JobId(1)) == JobStatus::Failed);
+}
+
+Test(pool_deadly_tasks, suspect_takes_no_other_work_down_again) {
+  PoolSimulation Simulation(7, 1, 2);
+  addDeadlyTask(Simulation);
+  Simulation.runFor(2s);
+  // The workers are half full, so that the deadly task starts beside others.
+  Simulation.submit(0, Simulation.job(2, 8, 4, false, 8s));
+  Simulation.runFor(1s);
+  Simulation.submit(0, Simulation.job(1, 1, 1, false, 5s));
+  Simulation.runFor(60s);
+  cr_assert(Simulation.visibleStatus(JobId(1)) == JobStatus::Failed);
+  cr_assert(Simulation.visibleStatus(JobId(2)) == JobStatus::Completed);
+  std::size_t Repeated = 0;
+  for (std::uint32_t Index = 0; Index < 8; ++Index)
+    Repeated += Simulation.Pool.startsOf({JobId(2), 0, 0, Index}) - 1;
+  cr_assert_leq(Repeated, 2U, "%zu runs were lost beside the deadly task",
+                Repeated);
+}
+
+Test(pool_deadly_tasks, gang_with_a_deadly_member_is_given_up) {
+  PoolSimulation Simulation(7, 1, 2);
+  addDeadlyTask(Simulation);
+  Simulation.runFor(2s);
+  Simulation.submit(0, Simulation.job(1, 6, 4, true, 5s));
+  Simulation.submit(0, Simulation.job(2, 6, 4, true, 5s));
+  Simulation.runFor(60s);
+  cr_assert_leq(Simulation.Pool.startsOf(Deadly), MaxStarts);
+  cr_assert(Simulation.visibleStatus(JobId(1)) == JobStatus::Failed);
+  cr_assert(Simulation.visibleStatus(JobId(2)) == JobStatus::Completed);
+}
+
+Test(pool_deadly_tasks, tasks_on_workers_that_crash_by_themselves_complete) {
+  for (std::uint64_t Seed = 1; Seed <= 10; ++Seed) {
+    PoolSimulation Simulation(Seed, 2, 2);
+    Simulation.Pool.ReportsProgress = true;
+    Simulation.runFor(2s);
+    constexpr std::uint64_t JobCount = 8;
+    for (std::uint64_t Id = 1; Id <= JobCount; ++Id)
+      Simulation.submit(0, Simulation.job(Id, 6, 1, Id % 2 == 0, 6s));
+    Random Generator(Seed);
+    for (int Wave = 0; Wave < 4; ++Wave) {
+      Simulation.runFor(std::chrono::milliseconds(500 + Generator.below(4000)));
+      std::vector<WorkerId> Crashed;
+      for (const WorkerId &Id : Simulation.Pool.ids())
+        if (Simulation.Pool.up(Id) && Generator.withProbability(0.4))
+          Crashed.push_back(Id);
+      for (const WorkerId &Id : Crashed)
+        Simulation.Pool.crash(Id);
+      Simulation.runFor(2500ms);
+      for (const WorkerId &Id : Crashed)
+        Simulation.Pool.restart(Id);
+    }
+    Simulation.runFor(40s);
+    for (std::uint64_t Id = 1; Id <= JobCount; ++Id)
+      cr_assert(Simulation.visibleStatus(JobId(Id)) == JobStatus::Completed,
+                "seed %zu, job %zu", static_cast<std::size_t>(Seed),
+                static_cast<std::size_t>(Id));
+  }
+}
--- a/test/support/FakeWorkerPool.cpp
+++ b/test/support/FakeWorkerPool.cpp
@@ -161,8 +161,8 @@
   if (Started)
     Started(Order.Task, SentAt);
   scheduleLeaseExpiry(Order.Worker);
-  if (Task.CrashesAfter)
-    crashLater(Order.Worker, Key, *Task.CrashesAfter);
+  if (Task.CrashesAfter > Duration::zero())
+    crashLater(Order.Worker, Key, Task.CrashesAfter);
   if (Task.GangSize > 0)
     joinGang(Order.Worker, Key, Task);
   else
--- a/test/support/FakeWorkerPool.h
+++ b/test/support/FakeWorkerPool.h
@@ -32,15 +32,15 @@
   std::uint32_t GangSize = 0;
   /// True if the task fails instead of ending as done.
   bool Fails = false;
-  /// Time after its start at which the task crashes its worker; unset for a
-  /// task that does not.
-  std::optional<Duration> CrashesAfter;
   /// Tail response time of a task that serves users, without interference;
   /// zero for a task that serves no users.
   Duration TailLatency{};
   /// Relative increase of the tail response times of tasks on the same worker,
   /// at full speed.
   double Interference = 0.0;
+  /// Time after its start at which the task crashes its worker; zero for a task
+  /// that does not.
+  Duration CrashesAfter{};
 };
 
 /// Simulates the workers, checks the invariants that no owner may violate, and
