Ask silent workers again after their leases have ended

A worker that the owner could not reach for longer than a lease was never asked again as long as the directory listed it: renewals go to workers with runs, and to those that have never reported. It took no more work from this owner.

Change: a silent worker without runs is asked once a second.

Tests: pool_cut_worker::worker_is_used_again_after_a_cut_longer_than_its_lease and pool_deadly_tasks::tasks_on_disconnected_workers_complete failed before.

--- a/src/pool/PoolOwner.h
+++ b/src/pool/PoolOwner.h
@@ -74,6 +74,9 @@
   /// last nearly as long as a lease; prompt retries then renew the lease before
   /// the work is lost.
   Duration UnresponsiveRetry = std::chrono::milliseconds(60);
+  /// Interval at which an unresponsive worker without runs is asked for a
+  /// report, so that it is used again when a network partition has ended.
+  Duration SilentWorkerInterval = std::chrono::seconds(1);
   /// Response timeout for an unresponsive worker: several round trips.
   Duration UnresponsiveTimeout = std::chrono::milliseconds(250);
   /// Delay from the first event to the scheduling pass that handles it and
--- a/src/pool/PoolOwnerPass.cpp
+++ b/src/pool/PoolOwnerPass.cpp
@@ -321,7 +321,7 @@
     return;
   bool MustAcknowledge = Tracked.AcknowledgedTo < State.Acknowledged;
   bool Needed = MustAcknowledge || State.HoldsRuns || !State.HasReported ||
-                State.HasUnrecordedEnds;
+                State.HasUnrecordedEnds || State.Unresponsive;
   if (Needed && (MustAcknowledge || Now >= Tracked.NotBefore))
     renewWorker(State, Tracked);
 }
@@ -374,6 +374,8 @@
       Tracked.AcknowledgedTo = 0;
     if (Answered && (State->HasUnrecordedEnds || Bounds.withholdsLease(Id)))
       Pause = Limits.RenewalWait;
+    else if (!Answered && State->HasReported && !State->HoldsRuns)
+      Pause = Limits.SilentWorkerInterval;
     Tracked.NotBefore = Now + Pause;
   }
   if (!Answered || !Report.Ended.empty() || Scheduler->hasChanges() ||
--- a/src/pool/PoolSchedulerCrashes.cpp
+++ b/src/pool/PoolSchedulerCrashes.cpp
@@ -200,14 +200,12 @@
     for (const WorkerLoss &Loss : Losses) {
       if (Loss.Proven)
         continue;
-      if (isReplaced(Loss))
+      if (isReplaced(Loss)) {
         Group.Crashes.prove(Loss.Worker);
-      else
-        Silent.add({Loss.Worker,
-                    Loss.Address,
-                    Loss.Life,
-                    {Group.task(Restored.Spec.Id, Loss.Member)},
-                    Now});
+        continue;
+      }
+      TaskKey Task = Group.task(Restored.Spec.Id, Loss.Member);
+      Silent.add({Loss.Worker, Loss.Address, Loss.Life, {Task}, Now});
     }
     giveUpIfGuilty(Restored, Group, Now);
   }
--- a/src/pool/PoolSchedulerReports.cpp
+++ b/src/pool/PoolSchedulerReports.cpp
@@ -83,11 +83,12 @@
     return;
   }
   bool Answered = Report.Result == OrderResult::Done;
-  if (Worker.Unresponsive == Answered)
+  if (Worker.Unresponsive == Answered) {
     Log.write(LogLevel::Change, Answered ? "worker.heard" : "worker.silent",
               {{"worker", Id.str()},
                {"result", resultName(Report.Result)},
                {"fault", Report.Fault}});
+  }
   HealthCheckDue = HealthCheckDue || Worker.Unresponsive == Answered;
   if (!Answered && !Worker.Unresponsive)
     workerSilent(Worker, Now);
--- a/test/error/pool_cut_worker.cpp
+++ b/test/error/pool_cut_worker.cpp
@@ -32,3 +32,18 @@
                  Simulation.Pool.starts());
   }
 }
+
+Test(pool_cut_worker, worker_is_used_again_after_a_cut_longer_than_its_lease) {
+  PoolSimulation Simulation(1, 1, 1);
+  Simulation.runFor(2s);
+  Simulation.submit(0, Simulation.job(1, 8, 8, false, 3s));
+  Simulation.runFor(1s);
+  std::set<WorkerId> &Unresponsive =
+      Simulation.daemon(0).Workers.Faults.Unresponsive;
+  for (const WorkerId &Id : Simulation.Pool.ids())
+    Unresponsive.insert(Id);
+  Simulation.runFor(8s);
+  Unresponsive.clear();
+  Simulation.runFor(8s);
+  cr_assert(Simulation.visibleStatus(JobId(1)) == pool::JobStatus::Completed);
+}
--- a/test/error/pool_deadly_tasks.cpp
+++ b/test/error/pool_deadly_tasks.cpp
@@ -129,9 +129,30 @@
         Simulation.Pool.restart(Id);
     }
     Simulation.runFor(40s);
-    for (std::uint64_t Id = 1; Id <= JobCount; ++Id)
+    for (std::uint64_t Id = 1; Id <= JobCount; ++Id) {
       cr_assert(Simulation.visibleStatus(JobId(Id)) == JobStatus::Completed,
                 "seed %zu, job %zu", static_cast<std::size_t>(Seed),
                 static_cast<std::size_t>(Id));
+    }
+  }
+}
+
+Test(pool_deadly_tasks, tasks_on_disconnected_workers_complete) {
+  PoolSimulation Simulation(7, 1, 2);
+  Simulation.Pool.ReportsProgress = true;
+  Simulation.runFor(2s);
+  Simulation.submit(0, Simulation.job(1, 1, 4, false, 3s));
+  // Each worker is disconnected right after the task has started on it.
+  for (int Cut = 0; Cut < 6; ++Cut) {
+    Simulation.runFor(100ms);
+    std::set<WorkerId> &Unresponsive =
+        Simulation.daemon(0).Workers.Faults.Unresponsive;
+    for (const WorkerId &Id : Simulation.Pool.ids())
+      if (Simulation.Pool.runningOn(Id) > 0)
+        Unresponsive.insert(Id);
+    Simulation.runFor(7s);
+    Unresponsive.clear();
   }
+  Simulation.runFor(30s);
+  cr_assert(Simulation.visibleStatus(JobId(1)) == JobStatus::Completed);
 }
