Check the capacity of a worker before each start order

A worker whose capacity shrank was brought over it: room is checked when a run is placed, and the start order follows after the commit, or is repeated after a lost answer, without another look.

Change: a start that no longer fits beside what is allocated on its worker is not ordered; a planned run is placed anew. What runs is not stopped, whatever the capacity.

--- a/src/pool/PoolScheduler.h
+++ b/src/pool/PoolScheduler.h
@@ -528,6 +528,9 @@
   void orderStops(PoolOrders &Orders, TimePoint Now);
   void orderPaces(PoolOrders &Orders, TimePoint Now);
   bool mayOrder(const WorkerState &Worker, const Job &Owner) const;
+  /// Whether what is allocated on the worker, planned runs included, is within
+  /// its capacity, which may have shrunk.
+  static bool fitsOnWorker(const WorkerState &Worker);
   void abortIncompleteGangs(TimePoint Now);
   /// Removes unlisted workers that hold no runs and no unrecorded ends.
   void removeGoneWorkers();
--- a/src/pool/PoolSchedulerOrders.cpp
+++ b/src/pool/PoolSchedulerOrders.cpp
@@ -12,6 +12,10 @@
          !DomainsOutOfService.contains(Worker.Info.Domain);
 }
 
+bool PoolScheduler::fitsOnWorker(const WorkerState &Worker) {
+  return Worker.Allocated.fitsIn(Worker.Info.Capacity);
+}
+
 void PoolScheduler::orderStarts(PoolOrders &Orders, TimePoint Now) {
   for (const WorkerId &Id : WorkersWithPendingOrders) {
     WorkerState &Worker = Workers.at(Id);
@@ -31,6 +35,14 @@
         // rest in the next pass.
         break;
       }
+      if (!fitsOnWorker(Worker)) {
+        // A worker may hold an unanswered run already; its reports show that.
+        if (Run.Phase == RunPhase::Ordered &&
+            Now < Run.OrderedAt + Limits.GangStartTimeout)
+          continue;
+        abort(*Ref.Owner, *Ref.Group, "worker_capacity");
+        break;
+      }
       if (!mayOrderUnderCap(*Ref.Owner, *Ref.Group)) {
         abort(*Ref.Owner, *Ref.Group, "workspace_at_cap");
         break;
--- a/test/error/pool_seeded_runs.cpp
+++ b/test/error/pool_seeded_runs.cpp
@@ -43,6 +43,11 @@
   expectNoViolations(PoolFaults::WithCaps);
 }
 
+/// No start exceeds a capacity that shrank more than three seconds ago.
+Test(pool_seeded_runs, shrinking_workers_are_not_exceeded) {
+  expectNoViolations(PoolFaults::WithShrinkingWorkers);
+}
+
 /// Caps that bind nothing change no decision.
 Test(pool_seeded_runs, wide_caps_change_no_decision) {
   for (std::uint64_t Seed = 1; Seed <= 20; ++Seed) {
--- a/test/support/FakeWorkerPool.cpp
+++ b/test/support/FakeWorkerPool.cpp
@@ -97,6 +97,15 @@
   ++State.IncarnationNumber;
 }
 
+void FakeWorkerPool::resize(const WorkerId &Id, const Resources &Capacity) {
+  Worker &State = Workers.at(Id);
+  if (!State.Info.Capacity.fitsIn(Capacity)) {
+    State.FormerCapacity = State.Info.Capacity;
+    State.ShrunkAt = Clock.now();
+  }
+  State.Info.Capacity = Capacity;
+}
+
 void FakeWorkerPool::replace(const WorkerId &Old, const WorkerId &NewId) {
   Workers.at(Old).Replaced = true;
   PoolWorker Info = Workers.at(Old).Info;
@@ -151,7 +160,10 @@
     recordViolation("task started after its end was acknowledged:", Key);
   TaskBehaviour Task = Behaviour(Order.Task);
   State.Allocated += Task.Allocated;
-  if (!State.Allocated.fitsIn(State.Info.Capacity))
+  bool InGrace = State.ShrunkAt != TimePoint::min() &&
+                 Clock.now() - State.ShrunkAt < ShrinkGrace;
+  if (!State.Allocated.fitsIn(State.Info.Capacity) &&
+      !(InGrace && State.Allocated.fitsIn(State.FormerCapacity)))
     recordViolation("worker capacity exceeded by", Key);
   State.Runs[Key] = ++LastChangeNumber;
   ++Starts;
--- a/test/support/FakeWorkerPool.h
+++ b/test/support/FakeWorkerPool.h
@@ -52,6 +52,8 @@
   static constexpr Duration GangTimeout = std::chrono::seconds(3);
   /// Time after which a worker that a task has crashed is back.
   static constexpr Duration RestartTime = std::chrono::seconds(3);
+  /// Time after which a start may no longer rely on a capacity that has shrunk.
+  static constexpr Duration ShrinkGrace = std::chrono::seconds(3);
 
   explicit FakeWorkerPool(VirtualClock &Clock) : Clock(Clock) {}
 
@@ -74,6 +76,8 @@
   void add(const pool::PoolWorker &Info);
   /// Ends the worker process and discards its runs and all its state.
   void crash(const WorkerId &Id);
+  /// Changes the capacity of a worker; what runs there stays.
+  void resize(const WorkerId &Id, const Resources &Capacity);
   /// Starts a new process without state under the same id.
   void restart(const WorkerId &Id);
   /// Starts a new process under \p NewId at the address of the crashed worker
@@ -142,6 +146,9 @@
     Epoch Token;
     TimePoint LeaseUntil;
     Resources Allocated;
+    /// The capacity before it last shrank, and when it did.
+    Resources FormerCapacity;
+    TimePoint ShrunkAt = TimePoint::min();
     std::uint64_t LastEndSequence = 0;
     /// Present runs, each with a number that every change of the run
     /// increases.
--- a/test/support/PoolFaultRun.cpp
+++ b/test/support/PoolFaultRun.cpp
@@ -28,6 +28,7 @@
 /// no daemon can reach.
 constexpr Duration SettlingTime = 60s;
 constexpr double CapOverage = 0.1;
+constexpr Resources WholeWorker{32000, 131072, 8};
 /// More than the pool has.
 constexpr Resources WideCap{1'000'000, 10'000'000, 1000};
 
@@ -35,6 +36,7 @@
 public:
   FaultRun(std::uint64_t Seed, PoolFaults Kinds)
       : KindCount(kindCount(Kinds)), ChangesCaps(Kinds == PoolFaults::WithCaps),
+        ShrinksWorkers(Kinds == PoolFaults::WithShrinkingWorkers),
         Generator(Seed),
         Simulation(Seed, Daemons, Racks, limits(), {},
                    Kinds != PoolFaults::WithoutOutageDetection),
@@ -55,6 +57,8 @@
         submit();
       if (Generator.withProbability(0.4))
         injectFault();
+      if (ShrinksWorkers)
+        resizeWorkers();
       Simulation.runFor(500ms);
     }
     removeFaults();
@@ -110,6 +114,25 @@
     }
   }
 
+  /// Shrinks a few workers in one or all of their figures, down to nothing, and
+  /// lets others grow back.
+  void resizeWorkers() {
+    for (const WorkerId &Id : Simulation.Pool.ids()) {
+      if (!Generator.withProbability(0.1))
+        continue;
+      Resources Capacity = WholeWorker;
+      std::uint32_t Figure = Generator.below(5);
+      auto Eighths = static_cast<std::int32_t>(Generator.below(8));
+      if (Figure == 0 || Figure == 3)
+        Capacity.MilliCores = Capacity.MilliCores * Eighths / 8;
+      if (Figure == 1 || Figure == 3)
+        Capacity.MemoryMiB = Capacity.MemoryMiB * Eighths / 8;
+      if (Figure == 2 || Figure == 3)
+        Capacity.Accelerators = Capacity.Accelerators * Eighths / 8;
+      Simulation.resizeWorker(Id, Capacity);
+    }
+  }
+
   void submit() {
     std::uint64_t Id = 100 + Submitted.size();
     bool Gang = Generator.withProbability(0.4);
@@ -235,9 +258,12 @@
       if (!Daemon.Owner)
         Simulation.restart(Number);
     }
-    for (const WorkerId &Id : Simulation.Pool.ids())
+    for (const WorkerId &Id : Simulation.Pool.ids()) {
       if (!Simulation.Pool.up(Id))
         Simulation.Pool.restart(Id);
+      if (ShrinksWorkers)
+        Simulation.resizeWorker(Id, WholeWorker);
+    }
   }
 
   std::vector<std::string> findViolations() {
@@ -292,6 +318,7 @@
 
   std::uint32_t KindCount;
   bool ChangesCaps;
+  bool ShrinksWorkers;
   Random Generator;
   PoolSimulation Simulation;
   CapCheck Caps;
--- a/test/support/PoolFaultRun.h
+++ b/test/support/PoolFaultRun.h
@@ -21,6 +21,8 @@
   /// WithSlowDaemons, and workspaces with caps that change. Each start is
   /// checked against the cap.
   WithCaps,
+  /// Base, and workers whose capacity shrinks and grows again.
+  WithShrinkingWorkers,
   /// Base with caps above the capacity of the pool, which bind nothing.
   WithWideCaps,
   /// Base, with entries that do not detect store outages. A seed that was
--- a/test/support/PoolSimulation.cpp
+++ b/test/support/PoolSimulation.cpp
@@ -187,6 +187,18 @@
       Daemon->Owner->workerChanged(Id, nullptr);
 }
 
+void PoolSimulation::resizeWorker(const WorkerId &Id,
+                                  const Resources &Capacity) {
+  Pool.resize(Id, Capacity);
+  auto Listed = Directory.find(Id);
+  if (Listed == Directory.end())
+    return;
+  Listed->second.Capacity = Capacity;
+  for (auto &Daemon : Daemons)
+    if (Daemon->Owner)
+      Daemon->Owner->workerChanged(Id, &Listed->second);
+}
+
 void PoolSimulation::listWorker(const WorkerId &Id, bool Draining) {
   PoolWorker &Worker = Directory.emplace(Id, Pool.info(Id)).first->second;
   Worker.Draining = Draining;
