Start nothing on an outdated view of the workers

An owner that resumes after a pause, or that only the watch of the directory does not reach, sent planned and repeated start orders by the capacities that it had seen before: nothing limited the age of that view.

Change: nothing is placed or ordered to start unless the store has confirmed the directory within 2.5 s; it does so each second without changes. Ends, stops and renewals go on. directory.outdated and directory.current say so in the log.

Tests: nothing_starts_on_an_outdated_view and owner_with_an_outdated_directory_starts_nothing failed before.

--- a/src/pool/PoolOwner.h
+++ b/src/pool/PoolOwner.h
@@ -87,6 +87,11 @@
   /// Interval between sweeps over all workers; well below the interval between
   /// renewals of a worker that holds runs.
   Duration SweepInterval = std::chrono::milliseconds(100);
+  /// Age of the directory of workers from which nothing starts: a start may
+  /// rely on a capacity, or on a worker that is about to leave, for a few
+  /// seconds after it has changed. Without changes, the view is confirmed each
+  /// second.
+  Duration MaxDirectoryAge = std::chrono::milliseconds(2500);
   /// Retention time of the record of a final job.
   Duration FinalJobRetention = std::chrono::seconds(180);
 };
@@ -118,6 +123,11 @@
   /// Sets the adviser; jobs of queues that need advice wait while there is
   /// none.
   void useAdviser(Adviser &Service) { AdviserService = &Service; }
+  /// Sets the function that returns when the directory of workers was last
+  /// known to be current; without it, the directory counts as current.
+  void setDirectoryClock(std::function<TimePoint()> ConfirmedAt) {
+    DirectoryConfirmedAt = std::move(ConfirmedAt);
+  }
   /// Sets the observer of the task intervals measured while this daemon owns
   /// the pool.
   void observe(SpanObserver Callback) { Observer = std::move(Callback); }
@@ -168,6 +178,8 @@
                   const TransactionResult &Result);
   std::string nextHead();
   void sendOrders(const PoolOrders &Orders);
+  /// Whether the directory of workers is recent enough to start tasks.
+  bool directoryCurrent(TimePoint Now) const;
   void askAdviser();
   /// The state of one worker's lease renewals.
   struct Renewal {
@@ -211,6 +223,7 @@
   std::function<void(bool)> RoleChanged;
   Adviser *AdviserService = nullptr;
   SpanObserver Observer;
+  std::function<TimePoint()> DirectoryConfirmedAt;
 
   Role Phase = Role::Follower;
   bool Retired = false;
--- a/src/pool/PoolOwnerPass.cpp
+++ b/src/pool/PoolOwnerPass.cpp
@@ -65,6 +65,7 @@
     expireLeases(Now);
     updateLeaseBounds(Now);
   }
+  Scheduler->setDirectoryCurrent(directoryCurrent(Now));
   PoolOrders Orders = Scheduler->runPass(Now, Clock.wallNow());
   sendOrders(Orders);
   commit();
@@ -84,6 +85,14 @@
   LastPassAt = ThisPassAt;
 }
 
+bool PoolOwner::directoryCurrent(TimePoint Now) const {
+  if (!DirectoryConfirmedAt)
+    return true;
+  TimePoint ConfirmedAt = DirectoryConfirmedAt();
+  return ConfirmedAt != TimePoint::min() &&
+         Now - ConfirmedAt < Limits.MaxDirectoryAge;
+}
+
 void PoolOwner::sendOrders(const PoolOrders &Orders) {
   std::uint64_t CallTerm = Term;
   // A start order extends the worker's lease too. It follows a commit that was
--- a/src/pool/PoolScheduler.cpp
+++ b/src/pool/PoolScheduler.cpp
@@ -10,6 +10,7 @@
 #include <algorithm>
 #include <iterator>
 #include <tuple>
+#include <utility>
 
 namespace banyanworks::pool {
 
@@ -56,6 +57,12 @@
   HealthCheckDue = true;
 }
 
+void PoolScheduler::setDirectoryCurrent(bool Current) {
+  if (std::exchange(DirectoryCurrent, Current) != Current)
+    Log.write(LogLevel::Change,
+              Current ? "directory.current" : "directory.outdated", {});
+}
+
 void PoolScheduler::updateWorker(const PoolWorker &Worker, TimePoint Now) {
   WorkerState &State = Workers[Worker.Id];
   if (!Worker.Draining)
--- a/src/pool/PoolScheduler.h
+++ b/src/pool/PoolScheduler.h
@@ -164,6 +164,10 @@
   /// Handles the expiry of all leases on the worker: its runs have ended.
   void leasesExpired(const WorkerId &Id, TimePoint Now);
 
+  /// Sets whether the directory of workers is known to be current. Nothing
+  /// starts while it is not.
+  void setDirectoryCurrent(bool Current);
+
   /// Places the tasks that fit and returns the orders that are due.
   PoolOrders runPass(TimePoint Now, WallTime Wall);
 
@@ -645,6 +649,7 @@
   /// Number of reclaims planned in this pass.
   std::size_t ReclaimPlans = 0;
   bool Fenced = false;
+  bool DirectoryCurrent = true;
 };
 
 /// Whether a worker can run tasks of a step, by its service and labels.
--- a/src/pool/PoolSchedulerOrders.cpp
+++ b/src/pool/PoolSchedulerOrders.cpp
@@ -17,6 +17,8 @@
 }
 
 void PoolScheduler::orderStarts(PoolOrders &Orders, TimePoint Now) {
+  if (!DirectoryCurrent)
+    return;
   for (const WorkerId &Id : WorkersWithPendingOrders) {
     WorkerState &Worker = Workers.at(Id);
     for (auto At = Worker.Runs.begin(); At != Worker.Runs.end();) {
--- a/src/pool/PoolSchedulerPass.cpp
+++ b/src/pool/PoolSchedulerPass.cpp
@@ -510,7 +510,7 @@
 }
 
 void PoolScheduler::schedule(TimePoint Now, WallTime Wall) {
-  if (!Configured)
+  if (!Configured || !DirectoryCurrent)
     return;
   ReclaimingJobs.clear();
   std::erase_if(ReclaimingWorkers, [&](const WorkerId &Id) {
--- a/test/error/pool_shrunk_workers.cpp
+++ b/test/error/pool_shrunk_workers.cpp
@@ -203,6 +203,35 @@
   cr_assert(Orders.Stops.front().Worker == W2);
 }
 
+Test(pool_shrunk_workers, nothing_starts_on_an_outdated_view) {
+  ShrinkingPool Pool;
+  Pool.submit(1, {2000, 1024, 8});
+  Pool.pass();
+  Pool.commit();
+  Pool.Scheduler.setDirectoryCurrent(false);
+  Pool.submit(2, {1000, 1024, 0});
+  cr_assert(Pool.starts().empty());
+  Pool.Scheduler.setDirectoryCurrent(true);
+  cr_assert_eq(Pool.pass().Starts.size(), 1U);
+  cr_assert_eq(Pool.starts().size(), 1U);
+}
+
+/// The orders of an owner that resumes after a pause may be older than what the
+/// directory shows.
+Test(pool_shrunk_workers, owner_with_an_outdated_directory_starts_nothing) {
+  PoolSimulation Simulation(7, 1, 1);
+  PoolOwner &Owner = *Simulation.daemon(0).Owner;
+  TimePoint ConfirmedAt = Simulation.Clock.now() + 3s;
+  Owner.setDirectoryClock([&ConfirmedAt] { return ConfirmedAt; });
+  Simulation.runFor(8s);
+  Simulation.submit(0, Simulation.job(1, 1, 8, false, 1s));
+  Simulation.runFor(3s);
+  cr_assert_eq(Simulation.Pool.starts(), 0U);
+  ConfirmedAt = Simulation.Clock.now();
+  Simulation.runFor(1s);
+  cr_assert_eq(Simulation.Pool.starts(), 1U);
+}
+
 Test(pool_shrunk_workers, repeated_start_does_not_exceed_a_shrunk_worker) {
   PoolSimulation Simulation(7, 1, 1);
   Simulation.runFor(2s);
