Try suspected tasks on another VM, and do not take their crash for an outage

A suspect was placed on the VM that had just come back, where a second crash proves nothing: five starts where two suffice.

Change: a suspect avoids VMs where it has lost a worker; a silent worker is a sign of an outage only if it held work, all of it older.

Tests: suspect_is_not_tried_on_the_same_vm_again and silence_after_an_unanswered_start_is_no_outage failed before.

--- a/src/pool/CrashRecord.cpp
+++ b/src/pool/CrashRecord.cpp
@@ -60,6 +60,12 @@
       });
 }
 
+bool CrashRecord::hasLost(const std::string &Address) const {
+  return std::any_of(
+      Losses.begin(), Losses.end(),
+      [&Address](const WorkerLoss &Loss) { return Loss.Address == Address; });
+}
+
 bool CrashRecord::isGuilty(bool HasLimit, bool ProvenOnly) const {
   std::map<std::uint32_t, MemberLosses> Members;
   for (const WorkerLoss &Loss : Losses) {
--- a/src/pool/CrashRecord.h
+++ b/src/pool/CrashRecord.h
@@ -112,11 +112,14 @@
   /// Whether a crash at the start of a run speaks against the member, or
   /// against any member of the group if it is not given.
   bool isSuspect(std::optional<std::uint32_t> Member = std::nullopt) const;
+  /// Whether a worker at the address was lost.
+  bool hasLost(const std::string &Address) const;
   /// Whether the group is not placed together with the others of its step.
   bool placedByItself() const {
     return isSuspect() || Losses.size() >= MaxLosses;
   }
-  /// Whether the next run still waits for a worker without other runs.
+  /// Whether the next run still waits for a worker without other runs, on a VM
+  /// where the group has lost none.
   bool waitsForIsolation(TimePoint Now) const;
 
 private:
--- a/src/pool/PoolScheduler.h
+++ b/src/pool/PoolScheduler.h
@@ -300,7 +300,8 @@
     bool Guaranteed = false;
     /// A single group that is suspected to crash workers.
     bool Suspected = false;
-    /// The group waits for a worker without other runs.
+    /// The group waits for a worker without other runs, on a VM where it has
+    /// lost none.
     bool Isolated = false;
     /// Time since the job was due.
     Duration WaitTime{};
@@ -463,6 +464,11 @@
   /// Lists the waiting groups of a candidate.
   static void listWaitingGroups(StepCandidate &Candidate);
   std::vector<StepCandidate> candidates(TimePoint Now, WallTime Wall);
+  /// Whether a suspected candidate avoids the worker, or does not start there
+  /// at all while it is isolated: other runs could be lost, and another crash
+  /// of the same VM would prove nothing.
+  static bool isAvoided(const WorkerState &Worker,
+                        const StepCandidate &Candidate);
   /// Returns the workers with free resources for at least one task of the
   /// request.
   std::vector<PlacementTarget> placementTargets(const StepCandidate &Candidate,
--- a/src/pool/PoolSchedulerCrashes.cpp
+++ b/src/pool/PoolSchedulerCrashes.cpp
@@ -70,11 +70,13 @@
 
 void PoolScheduler::workerSilent(WorkerState &Worker, TimePoint Now) {
   Worker.SilentSince = Now;
-  bool Starting = std::any_of(
+  // The answer to a start order may still be in transit.
+  bool HeldOldRunsOnly = std::all_of(
       Worker.Runs.begin(), Worker.Runs.end(), [](const auto &Entry) {
-        return ageAtLoss(Entry.second) == LossAge::AtStart;
+        const PlacedRun &Run = Entry.second;
+        return Run.Inherited || ageAtLoss(Run) == LossAge::Later;
       });
-  if (!Starting)
+  if (HeldOldRunsOnly && !Worker.Runs.empty())
     Outages.workerSilent(Now);
 }
 
--- a/src/pool/PoolSchedulerPass.cpp
+++ b/src/pool/PoolSchedulerPass.cpp
@@ -233,6 +233,13 @@
   AvailableWorkers.clear();
 }
 
+bool PoolScheduler::isAvoided(const WorkerState &Worker,
+                              const StepCandidate &Candidate) {
+  return Candidate.Suspected &&
+         (!Worker.Runs.empty() ||
+          Candidate.FirstWaiting->Crashes.hasLost(Worker.Info.Address));
+}
+
 std::vector<PlacementTarget>
 PoolScheduler::placementTargets(const StepCandidate &Candidate,
                                 const PlacementRequest &Request,
@@ -248,8 +255,8 @@
     const WorkerState &Worker = *Available.Worker;
     if (isRisky(Worker, Candidate) ||
         (!Urgent && Worker.InReserve && !MayUseReserve) ||
-        (Candidate.Isolated && !Worker.Runs.empty()) || Worker.SuspectRun ||
-        !eligible(Worker, Candidate, Now))
+        (Candidate.Isolated && isAvoided(Worker, Candidate)) ||
+        Worker.SuspectRun || !eligible(Worker, Candidate, Now))
       continue;
     PlacementTarget Target;
     Target.Worker = &Worker.Info;
@@ -262,7 +269,7 @@
       Target.Free = Reservation->usableResources(Worker.Info.Id, Target.Free,
                                                  Candidate.Step->Estimate);
     Target.Penalty = Worker.FailedJobs == 0 ? 0 : 1;
-    if (Candidate.Suspected && !Worker.Runs.empty())
+    if (isAvoided(Worker, Candidate))
       ++Target.Penalty;
     if (Candidate.Step->FillsIdle && !hasIdleCpuFor(Worker, *Candidate.Step))
       ++Target.Penalty;
--- a/test/error/pool_deadly_tasks.cpp
+++ b/test/error/pool_deadly_tasks.cpp
@@ -6,6 +6,8 @@
 
 #include <criterion/criterion.h>
 
+#include <algorithm>
+
 using namespace banyanworks;
 using namespace banyanworks::testing;
 using namespace banyanworks::pool;
@@ -156,3 +158,55 @@
   Simulation.runFor(30s);
   cr_assert(Simulation.visibleStatus(JobId(1)) == JobStatus::Completed);
 }
+
+Test(pool_deadly_tasks, suspect_is_not_tried_on_the_same_vm_again) {
+  PoolSimulation Simulation(7, 1, 1);
+  addDeadlyTask(Simulation);
+  Simulation.runFor(2s);
+  Simulation.submit(0, Simulation.job(1, 1, 4, false, 5s));
+  Simulation.runFor(20s);
+  std::size_t Starts = Simulation.Pool.startsOf(Deadly);
+  cr_assert_eq(Starts, 2U, "%zu starts", Starts);
+  cr_assert(Simulation.visibleStatus(JobId(1)) == JobStatus::Failed);
+}
+
+/// The connection may break before the answer to the start order is read.
+Test(pool_deadly_tasks, silence_after_an_unanswered_start_is_no_outage) {
+  VirtualClock Clock;
+  RecordingLog Log(Clock);
+  PoolScheduler Scheduler(PoolLimits(), Log);
+  PoolConfiguration Configuration;
+  QueueSpec Queue;
+  Queue.Id = QueueId("batch");
+  Queue.Terms.Service = ServiceId("service");
+  Configuration.Queues = {Queue};
+  Scheduler.configure(Configuration);
+  constexpr TimePoint Now{100s};
+  PoolWorker Worker;
+  Worker.Id = WorkerId("w1");
+  Worker.Address = "10.0.0.1:1";
+  Worker.Service = ServiceId("service");
+  Worker.Capacity = {32000, 131072, 8};
+  Scheduler.updateWorker(Worker, Now);
+  WorkerReport Report;
+  Report.Result = OrderResult::Done;
+  Scheduler.workerReported(Worker.Id, Report, Now, Now);
+  pool::JobSpec Spec;
+  Spec.Id = JobId(1);
+  Spec.Queue = Queue.Id;
+  Spec.Steps.emplace_back().PerTask = {1000, 1024, 1};
+  Scheduler.submit(Spec, JobStatus::Queued);
+  Scheduler.runPass(Now, WallTime(100s));
+  Scheduler.committed(Scheduler.changes(100), Now);
+  cr_assert_eq(Scheduler.runPass(Now, WallTime(100s)).Starts.size(), 1U);
+  Report.Result = OrderResult::NoAnswer;
+  Scheduler.workerReported(Worker.Id, Report, Now, Now + 10ms);
+  Report.Result = OrderResult::OtherIncarnation;
+  Scheduler.workerReported(Worker.Id, Report, Now, Now + 3s);
+  const auto &Lines = Log.lines();
+  auto Lost = std::find_if(Lines.begin(), Lines.end(), [](const auto &Line) {
+    return Line.find("task.lost_worker") != std::string::npos;
+  });
+  cr_assert(Lost != Lines.end());
+  cr_assert(Lost->find("outage=no") != std::string::npos, "%s", Lost->c_str());
+}
