Bound the losses that are kept, and count the limit by member

A gang that lost five members with one rack was placed like a suspect, and a record kept a row for each loss without a bound. A suspect of a queue with an adviser was not asked about while it waited for a worker of its own.

Test: wide_gang_is_not_held_for_one_lost_rack failed before.

--- a/src/pool/CrashRecord.cpp
+++ b/src/pool/CrashRecord.cpp
@@ -22,7 +22,11 @@
 
 } // namespace
 
-void CrashRecord::add(WorkerLoss Loss) { Losses.push_back(std::move(Loss)); }
+void CrashRecord::add(WorkerLoss Loss) {
+  if (Losses.size() == MaxKept)
+    Losses.erase(Losses.begin());
+  Losses.push_back(std::move(Loss));
+}
 
 void CrashRecord::setKnownAt(TimePoint KnownAt) {
   for (WorkerLoss &Loss : Losses)
@@ -60,6 +64,15 @@
       });
 }
 
+bool CrashRecord::isAtLimit() const {
+  std::map<std::uint32_t, std::size_t> Counts;
+  return Losses.size() >= MaxLosses &&
+         std::any_of(Losses.begin(), Losses.end(),
+                     [&Counts](const WorkerLoss &Loss) {
+                       return ++Counts[Loss.Member] >= MaxLosses;
+                     });
+}
+
 bool CrashRecord::hasLost(const std::string &Address) const {
   return std::any_of(
       Losses.begin(), Losses.end(),
@@ -105,8 +118,7 @@
     return CrashVerdict::Guilty;
   if (isGuilty(HasLimit, false)) {
     // Beyond the limit, the group waits until its losses are proven.
-    bool AtLimit = HasLimit && Losses.size() >= MaxLosses;
-    if (AtLimit || Now < lastKnownAt() + HoldTime)
+    if ((HasLimit && isAtLimit()) || Now < lastKnownAt() + HoldTime)
       return CrashVerdict::Held;
   }
   return isSuspect() ? CrashVerdict::Suspected : CrashVerdict::Unsuspected;
--- a/src/pool/CrashRecord.h
+++ b/src/pool/CrashRecord.h
@@ -92,6 +92,9 @@
   /// Losses of any kind after which a task does not start again. The users
   /// allow two more starts after three crashes.
   static constexpr std::size_t MaxLosses = 5;
+  /// Losses kept, the newest ones. A gang that spans a rack loses as many
+  /// members at once.
+  static constexpr std::size_t MaxKept = 64;
 
   bool empty() const { return Losses.empty(); }
   const std::vector<WorkerLoss> &losses() const { return Losses; }
@@ -115,15 +118,15 @@
   /// Whether a worker at the address was lost.
   bool hasLost(const std::string &Address) const;
   /// Whether the group is not placed together with the others of its step.
-  bool placedByItself() const {
-    return isSuspect() || Losses.size() >= MaxLosses;
-  }
+  bool placedByItself() const { return isSuspect() || isAtLimit(); }
   /// Whether the next run still waits for a worker without other runs, on a VM
   /// where the group has lost none.
   bool waitsForIsolation(TimePoint Now) const;
 
 private:
   bool isGuilty(bool HasLimit, bool ProvenOnly) const;
+  /// Whether any member has reached MaxLosses.
+  bool isAtLimit() const;
   TimePoint lastKnownAt() const;
 
   std::vector<WorkerLoss> Losses;
--- a/src/pool/PoolSchedulerPass.cpp
+++ b/src/pool/PoolSchedulerPass.cpp
@@ -562,9 +562,9 @@
       listWaitingGroups(Candidate);
     JobId Id = Candidate.Owner->Spec.Id;
     bool Reclaiming = ReclaimingJobs.contains(Id);
-    if (Candidate.Isolated)
-      continue;
-    if (!Placed && Urgent && !Reclaiming)
+    // Nothing is stopped for a suspect that waits for a worker of its own.
+    bool MayReclaim = Urgent && !Reclaiming && !Candidate.Isolated;
+    if (!Placed && MayReclaim)
       Placed = reclaim(Candidate, PrefersOneRack, Now, Wall);
     if (!Placed && PrefersOneRack && !Reclaiming) {
       Placed = tryPlace(Candidate, Now, true);
@@ -573,7 +573,7 @@
     }
     if (Candidate.Terms->Advice && !Candidate.Groups.empty() && !PendingAdvice)
       prepareAdviceRequest(Candidate, Now);
-    if (Placed && Candidate.Groups.empty() && Reclaiming)
+    if (Placed && Candidate.Groups.empty() && Reclaiming && !Candidate.Isolated)
       releaseHolds(Id);
     // Without a reservation, small tasks would take the resources that a gang
     // waits for. A job that is too late to be of use gets no reservation.
--- a/test/correctness/pool_crash_record.cpp
+++ b/test/correctness/pool_crash_record.cpp
@@ -99,6 +99,18 @@
   cr_assert(Record.verdict(false, Now) == CrashVerdict::Unsuspected);
 }
 
+Test(pool_crash_record, wide_gang_is_not_held_for_one_lost_rack) {
+  CrashRecord Record;
+  for (std::uint32_t Member = 0; Member < 100; ++Member) {
+    WorkerLoss Loss = laterCrash(static_cast<int>(Member) / 8);
+    Loss.Member = Member;
+    Record.add(Loss);
+  }
+  cr_assert(!Record.placedByItself());
+  cr_assert(verdict(Record) == CrashVerdict::Unsuspected);
+  cr_assert_eq(Record.losses().size(), CrashRecord::MaxKept);
+}
+
 Test(pool_crash_record, crashes_in_an_outage_are_no_evidence) {
   CrashRecord Record;
   for (int Number = 1; Number <= 4; ++Number) {
