--- a/src/pool/JobProgress.cpp
+++ b/src/pool/JobProgress.cpp
@@ -78,10 +78,11 @@
 /// workers.
 void encodeLosses(std::size_t GroupIndex, const CrashRecord &Crashes,
                   json &Rows) {
-  for (const WorkerLoss &Loss : Crashes.losses())
+  for (const WorkerLoss &Loss : Crashes.losses()) {
     Rows.push_back({GroupIndex, Loss.Member, Loss.Worker.str(), Loss.Address,
                     Loss.Life.value(), static_cast<int>(Loss.Age),
                     Loss.OnlyStart, Loss.InOutage, Loss.Proven});
+  }
 }
 
 WorkerLoss decodeLoss(const json &Row) {
