--- a/review/5/case.py
+++ b/review/5/case.py
@@ -9,36 +9,43 @@
 from harness import TROUBLE, CouldNotRun, main  # noqa: E402
 
 JOB = "b36f85c0e7a21d94"
-TASKS = 1200
+TASKS = 620
 CUT_S = 5.0
+LISTED_ENDS = 500
 
 
 def work_s(task):
-    """Tasks work from 8.0 to 8.9 s, as estimates are rough."""
-    return 8.0 + int(task.rsplit(".", 1)[1]) % 10 / 10
+    """Tasks work from 14 to 18 s; the later ones of the step are shorter."""
+    return 18.0 - 4.0 * int(task.rsplit(".", 1)[1]) / TASKS
+
+
+def best_cut(world, executor):
+    """The start of the CUT_S in which most tasks of the executor end, and how
+    many of them do."""
+    ends = sorted(at + work_s(task) for at, task, _, name, _ in world.starts
+                  if name == executor.name)
+    earliest = world.record.now() + 0.2
+    return max(((sum(at <= end < at + CUT_S - 0.3 for end in ends), at)
+                for at in (max(end - 0.1, earliest) for end in ends)),
+               default=(0, 0.0))
 
 
 def case(make):
     world = make(executors=3, work=work_s)
     step = {"count": TASKS, "cpu": 100, "memoryLimitMb": 64,
-            "estimatedMs": 8500}
+            "estimatedMs": 16000}
     time.sleep(1)
     if not world.wait(world.owner, 10) or not world.submit(
             world.nodes[0], JOB, [step]):
         raise CouldNotRun("the job was not accepted")
-    # The first executor with more than 500 runs is cut off.
-    holder = None
-    end = time.monotonic() + 10
-    while not holder and time.monotonic() < end:
-        for executor in world.executors:
-            if len(executor.runs) > 560:
-                holder = executor
-        time.sleep(0.02)
-    if not holder:
-        raise CouldNotRun("no executor has over 600 runs: " + str(
-            [len(e.runs) for e in world.executors]))
-    first = min(s[0] for s in world.starts if s[3] == holder.name)
-    time.sleep(max(0, first + 7.8 - world.record.now()))
+    if not world.wait(lambda: len(world.starts) >= TASKS, 13):
+        raise CouldNotRun(f"{len(world.starts)} tasks have started in 13 s")
+    (ends, at), holder = max(
+        ((best_cut(world, executor), executor)
+         for executor in world.executors), key=lambda item: item[0])
+    if ends <= LISTED_ENDS + 20:
+        raise CouldNotRun(f"only {ends} tasks of an executor end in {CUT_S} s")
+    time.sleep(max(0, at - world.record.now()))
     world.record.write(f"executor {holder.name} has {len(holder.runs)} runs")
     if TROUBLE:
         world.record.write(f"{holder.name} is cut off from all machines")
