--- a/review/2/case.py
+++ b/review/2/case.py
@@ -13,7 +13,7 @@
 
 
 def case(make):
-    world = make()
+    world = make(executors=6)
     step = {"count": 2, "cpu": 4000, "memoryLimitMb": 1024, "gpu": 4,
             "estimatedMs": 5000, "longRunning": True, "antiAffinity": 1}
     if not world.wait(world.owner, 10) or not world.submit(
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -31,7 +31,7 @@
 
 
 def case(make):
-    world = make(executors=3, work=work_s)
+    world = make(executors=6, work=work_s)
     step = {"count": TASKS, "cpu": 100, "memoryLimitMb": 64,
             "estimatedMs": 16000}
     time.sleep(1)
