Stop the restored runs of a final job

The successor restores the runs of a job that is recorded as cancelled or failed, since it has to stop them, but stopped none: finishJob() and cancel() return early for a final job, and only finishJob() aborts its runs.

restore() now aborts the runs of a final job. The orders are repeated until they are answered, like those of a job that ends under this owner.

--- a/src/pool/PoolScheduler.cpp
+++ b/src/pool/PoolScheduler.cpp
@@ -157,6 +157,9 @@
   // The earlier owner may not have recorded the job's failed status.
   if (Added.Progress.hasFailed())
     finishJob(Added, JobStatus::Failed);
+  // The earlier owner may not have reached all workers of a final job.
+  if (isFinal(Added.Status))
+    abortAll(Added, jobStatusName(Added.Status));
 }
 
 void PoolScheduler::cancel(JobId Id) {
--- a/test/error/pool_takeover.cpp
+++ b/test/error/pool_takeover.cpp
@@ -4,6 +4,10 @@
 
 #include <criterion/criterion.h>
 
+#include <algorithm>
+#include <set>
+#include <vector>
+
 using namespace banyanworks;
 using namespace banyanworks::testing;
 using namespace banyanworks::pool;
@@ -148,3 +152,82 @@
   for (Duration After = 20ms; After < 1700ms; After += 20ms)
     resumeAfterLongPause(After);
 }
+
+namespace {
+
+/// Makes a worker unreachable for all daemons, or reachable again.
+void setReachable(PoolSimulation &Simulation, const WorkerId &Id,
+                  bool Reachable) {
+  for (std::size_t Number = 0; Number < Simulation.daemonCount(); ++Number) {
+    std::set<WorkerId> &Unresponsive =
+        Simulation.daemon(Number).Workers.Faults.Unresponsive;
+    if (Reachable)
+      Unresponsive.erase(Id);
+    else
+      Unresponsive.insert(Id);
+  }
+}
+
+/// Returns a worker that holds runs.
+WorkerId busyWorker(const PoolSimulation &Simulation) {
+  std::vector<WorkerId> Ids = Simulation.Pool.ids();
+  return *std::find_if(Ids.begin(), Ids.end(), [&](const WorkerId &Id) {
+    return Simulation.Pool.runningOn(Id) > 0;
+  });
+}
+
+} // namespace
+
+// A successor adopted the tasks of a job that its predecessor had recorded as
+// cancelled, and kept them running.
+Test(pool_takeover, run_of_a_job_recorded_as_cancelled_is_stopped) {
+  auto Simulation = startedSimulation();
+  Simulation->submit(0, Simulation->job(1, 2, 8, false, 60s));
+  Simulation->runFor(1s);
+  WorkerId Unreachable = busyWorker(*Simulation);
+  setReachable(*Simulation, Unreachable, false);
+  std::size_t First = *Simulation->owner();
+  Simulation->cancel((First + 1) % 3, JobId(1));
+  Simulation->runFor(1s);
+  cr_assert(Simulation->visibleStatus(JobId(1)) == JobStatus::Cancelled);
+  Simulation->kill(First);
+  Simulation->runFor(2s);
+  cr_assert(Simulation->owner() && *Simulation->owner() != First);
+  cr_assert_eq(Simulation->Pool.runningOn(Unreachable), 1U);
+  setReachable(*Simulation, Unreachable, true);
+  Simulation->runFor(1s);
+  cr_assert_eq(Simulation->Pool.runningOn(Unreachable), 0U);
+}
+
+// The same for a job that was given up after too many failures of one task.
+Test(pool_takeover, run_of_a_job_recorded_as_failed_is_stopped) {
+  auto Simulation = startedSimulation();
+  pool::JobSpec Spec = Simulation->job(1, 2, 8, false, 60s);
+  // The second task fails at once.
+  auto Inner = Simulation->Pool.Behaviour;
+  Simulation->Pool.Behaviour = [Inner](const TaskKey &Task) {
+    TaskBehaviour Result = Inner(Task);
+    if (Task.Index == 1) {
+      Result.Fails = true;
+      Result.RunTime = 700ms;
+    }
+    return Result;
+  };
+  Simulation->submit(0, Spec);
+  Simulation->runFor(500ms);
+  std::vector<WorkerId> Ids = Simulation->Pool.ids();
+  auto Holder = std::find_if(Ids.begin(), Ids.end(), [&](const WorkerId &Id) {
+    return Simulation->Pool.holds(Id, {JobId(1), 0, 0, 0});
+  });
+  setReachable(*Simulation, *Holder, false);
+  Simulation->runFor(2500ms);
+  cr_assert(Simulation->visibleStatus(JobId(1)) == JobStatus::Failed);
+  std::size_t First = *Simulation->owner();
+  Simulation->kill(First);
+  Simulation->runFor(2s);
+  cr_assert(Simulation->owner() && *Simulation->owner() != First);
+  cr_assert_eq(Simulation->Pool.runningOn(*Holder), 1U);
+  setReachable(*Simulation, *Holder, true);
+  Simulation->runFor(1s);
+  cr_assert_eq(Simulation->Pool.runningOn(*Holder), 0U);
+}
