Let work that only the urgent reserve suits use it

Callers saw a job that requires a rare label shown as running with nothing at work, for as long as the pool was idle (LOST): the last worker with the label was in the urgent reserve, which is chosen by free accelerators and racks alone and keeps its workers while they are free.

ReserveAccess, a class without a clock or a network, decides on a step that finds no free resources elsewhere: it may use the reserve if no other worker could run it even when idle, if a long-running task has lost its worker, or if at most half of the service's accelerators are in use and no gang waits. A request that is known to fail outside the reserve is still tried on it. The same cause held back steps with antiAffinity or much memory, and gangs that are too late for a reservation.

--- a/src/pool/PoolScheduler.cpp
+++ b/src/pool/PoolScheduler.cpp
@@ -263,15 +263,19 @@
 void PoolScheduler::allocateResources(WorkerState &Worker,
                                       const Resources &Allocated) {
   Worker.Allocated += Allocated;
-  if (Worker.AvailableIndex)
-    AvailableWorkers[*Worker.AvailableIndex].Free -= Allocated;
+  if (!Worker.AvailableIndex)
+    return;
+  AvailableWorkers[*Worker.AvailableIndex].Free -= Allocated;
+  Access.addUse(Worker.Info.Service, Allocated.Accelerators);
 }
 
 void PoolScheduler::releaseResources(WorkerState &Worker,
                                      const Resources &Allocated) {
   Worker.Allocated -= Allocated;
-  if (Worker.AvailableIndex)
-    AvailableWorkers[*Worker.AvailableIndex].Free += Allocated;
+  if (!Worker.AvailableIndex)
+    return;
+  AvailableWorkers[*Worker.AvailableIndex].Free += Allocated;
+  Access.addUse(Worker.Info.Service, -Allocated.Accelerators);
 }
 
 void PoolScheduler::removeRun(WorkerState &Worker, RunTable::iterator Run) {
--- a/src/pool/PoolScheduler.h
+++ b/src/pool/PoolScheduler.h
@@ -16,6 +16,7 @@
 #include "pool/PoolWorker.h"
 #include "pool/ReclaimHolds.h"
 #include "pool/ReclaimPlan.h"
+#include "pool/ReserveAccess.h"
 #include "pool/RunTable.h"
 #include "pool/SilentLosses.h"
 #include "pool/SlowdownDetector.h"
@@ -326,6 +327,8 @@
     bool Guaranteed = false;
     /// Risky workers were excluded.
     bool AvoidedRisk = false;
+    /// The workers of the urgent reserve were excluded.
+    bool AvoidedReserve = false;
     /// The hold of the job that could use its own resources and those that are
     /// interchangeable with them.
     std::optional<ReclaimHolds::Hold> Own;
@@ -473,15 +476,30 @@
   /// request.
   std::vector<PlacementTarget> placementTargets(const StepCandidate &Candidate,
                                                 const PlacementRequest &Request,
+                                                bool MayUseReserve,
                                                 TimePoint Now) const;
+  /// Returns how many tasks of the candidate's step the worker holds, if the
+  /// step limits them.
+  static std::uint32_t tasksOfStep(const WorkerState &Worker,
+                                   const StepCandidate &Candidate);
+  /// Chooses a worker for each task of the request that can start now; none if
+  /// nothing can. \p MaySpanRacks is that of the request.
+  std::vector<WorkerId> chooseWorkers(StepCandidate &Candidate,
+                                      bool MaySpanRacks, bool MayUseReserve,
+                                      TimePoint Now);
+  /// Whether the candidate, which finds no free resources outside the urgent
+  /// reserve, may use the reserve.
+  ReserveGrant reserveGrant(const StepCandidate &Candidate,
+                            TimePoint Now) const;
   /// Prepares the request that the adviser has to answer before the step can
   /// be placed.
   void prepareAdviceRequest(const StepCandidate &Candidate, TimePoint Now);
   bool knownToFail(const std::vector<FailedRequest> &FailedRequests,
                    const PlacementRequest &Request,
-                   const StepCandidate &Candidate) const;
+                   const StepCandidate &Candidate, bool MayUseReserve) const;
   FailedRequest failedRequest(const PlacementRequest &Request,
-                              const StepCandidate &Candidate) const;
+                              const StepCandidate &Candidate,
+                              bool MayUseReserve) const;
   /// Returns a hold of the candidate's job; null if it has none.
   const ReclaimHolds::Hold *ownHold(const StepCandidate &Candidate) const;
   /// Whether the candidate is kept off the worker. A worker that fails all its
@@ -630,6 +648,7 @@
   TimePoint ReserveChosenAt;
   bool HealthCheckDue = true;
   UrgentReserve Reserve;
+  ReserveAccess Access;
   WorkerSpeeds Speeds;
   TaskFailures Failures;
   SilentLosses Silent;
--- a/src/pool/PoolSchedulerPass.cpp
+++ b/src/pool/PoolSchedulerPass.cpp
@@ -224,6 +224,8 @@
     Worker.AvailableIndex = AvailableWorkers.size();
     AvailableWorkers.push_back(
         {&Worker, Worker.Info.Capacity - Worker.Allocated});
+    Access.addWorker(Worker.Info.Service, Worker.Info.Capacity.Accelerators,
+                     Worker.Allocated.Accelerators);
   }
 }
 
@@ -231,6 +233,7 @@
   for (const AvailableWorker &Available : AvailableWorkers)
     Available.Worker->AvailableIndex.reset();
   AvailableWorkers.clear();
+  Access.clear();
 }
 
 bool PoolScheduler::isAvoided(const WorkerState &Worker,
@@ -243,18 +246,14 @@
 std::vector<PlacementTarget>
 PoolScheduler::placementTargets(const StepCandidate &Candidate,
                                 const PlacementRequest &Request,
-                                TimePoint Now) const {
+                                bool MayUseReserve, TimePoint Now) const {
   std::vector<PlacementTarget> Result;
-  const TaskGroup &FirstGroup = *Candidate.FirstWaiting;
   bool Urgent = Candidate.Terms->Priority == 0;
-  bool MayUseReserve =
-      ReservationUsesReserve && ReservationOwner == Candidate.Owner->Spec.Id;
   for (const AvailableWorker &Available : AvailableWorkers) {
     if (!Request.PerTask.fitsIn(Available.Free))
       continue;
     const WorkerState &Worker = *Available.Worker;
-    if (isRisky(Worker, Candidate) ||
-        (!Urgent && Worker.InReserve && !MayUseReserve) ||
+    if (isRisky(Worker, Candidate) || (Worker.InReserve && !MayUseReserve) ||
         (Candidate.Isolated && isAvoided(Worker, Candidate)) ||
         Worker.SuspectRun || !eligible(Worker, Candidate, Now))
       continue;
@@ -273,19 +272,25 @@
       ++Target.Penalty;
     if (Candidate.Step->FillsIdle && !hasIdleCpuFor(Worker, *Candidate.Step))
       ++Target.Penalty;
-    if (Candidate.Step->MaxPerWorker != 0) {
-      for (const auto &Entry : Worker.Runs) {
-        const TaskKey &Task = Entry.first.first;
-        Target.StepTasks += Task.Job == Candidate.Owner->Spec.Id &&
-                            Task.Occurrence == FirstGroup.Occurrence &&
-                            Task.Step == FirstGroup.Step;
-      }
-    }
+    Target.StepTasks = tasksOfStep(Worker, Candidate);
     Result.push_back(Target);
   }
   return Result;
 }
 
+std::uint32_t PoolScheduler::tasksOfStep(const WorkerState &Worker,
+                                         const StepCandidate &Candidate) {
+  if (Candidate.Step->MaxPerWorker == 0)
+    return 0;
+  StepKey Step = Candidate.stepKey();
+  return static_cast<std::uint32_t>(std::count_if(
+      Worker.Runs.begin(), Worker.Runs.end(), [&Step](const auto &Entry) {
+        const TaskKey &Task = Entry.first.first;
+        return Task.Job == Step.Job && Task.Occurrence == Step.Occurrence &&
+               Task.Step == Step.Step;
+      }));
+}
+
 void PoolScheduler::place(StepCandidate &Candidate,
                           const std::vector<TaskGroup *> &Groups,
                           const std::vector<WorkerId> &ChosenWorkers,
@@ -410,7 +415,8 @@
 
 bool PoolScheduler::knownToFail(
     const std::vector<FailedRequest> &FailedRequests,
-    const PlacementRequest &Request, const StepCandidate &Candidate) const {
+    const PlacementRequest &Request, const StepCandidate &Candidate,
+    bool MayUseReserve) const {
   const ReclaimHolds::Hold *Own = ownHold(Candidate);
   auto MinTasks = [](const PlacementRequest &Requested) {
     return Requested.AllOrNothing ? Requested.Count : 1;
@@ -427,6 +433,7 @@
                Earlier.Service == Candidate.Terms->Service &&
                (Earlier.Guaranteed || !Candidate.Guaranteed) &&
                (!Earlier.AvoidedRisk || Candidate.avoidsRisk()) &&
+               (!Earlier.AvoidedReserve || !MayUseReserve) &&
                (!Own ||
                 (Earlier.Own && Own->isInterchangeable(*Earlier.Own))) &&
                (Earlier.Label.empty() ||
@@ -437,7 +444,8 @@
 
 PoolScheduler::FailedRequest
 PoolScheduler::failedRequest(const PlacementRequest &Request,
-                             const StepCandidate &Candidate) const {
+                             const StepCandidate &Candidate,
+                             bool MayUseReserve) const {
   const ReclaimHolds::Hold *Own = ownHold(Candidate);
   return {Request,
           Candidate.Terms->Service,
@@ -445,6 +453,7 @@
           Candidate.Step->Estimate,
           Candidate.Guaranteed,
           Candidate.avoidsRisk(),
+          !MayUseReserve,
           Own ? std::optional(*Own) : std::nullopt};
 }
 
@@ -460,34 +469,92 @@
          Candidate.avoidsRisk();
 }
 
-bool PoolScheduler::tryPlace(StepCandidate &Candidate, TimePoint Now,
-                             bool MaySpanRacks) {
-  const StepSpec &Step = *Candidate.Step;
-  // A candidate at its cap leaves no entry among the requests known to fail,
-  // since it fails for no lack of resources.
-  if (isAtCap(Candidate))
-    return false;
+std::vector<WorkerId> PoolScheduler::chooseWorkers(StepCandidate &Candidate,
+                                                   bool MaySpanRacks,
+                                                   bool MayUseReserve,
+                                                   TimePoint Now) {
   PlacementRequest Request = requestFor(Candidate);
   Request.MaySpanRacks = MaySpanRacks;
   // The adviser's permission differs between steps with equal requests.
   if (!Candidate.Terms->Advice &&
-      knownToFail(FailedPlacements, Request, Candidate))
-    return false;
+      knownToFail(FailedPlacements, Request, Candidate, MayUseReserve))
+    return {};
   listWaitingGroups(Candidate);
   Request.Count = startableTasks(Candidate, requestFor(Candidate).Count);
   Request.Speed = speedPreference(Candidate);
   std::vector<PlacementTarget> Targets =
-      placementTargets(Candidate, Request, Now);
+      placementTargets(Candidate, Request, MayUseReserve, Now);
   std::vector<std::size_t> ChosenTargets = placeTasks(Request, Targets);
-  if (ChosenTargets.empty()) {
-    if (!Candidate.Terms->Advice && !Candidate.Suspected)
-      FailedPlacements.push_back(failedRequest(Request, Candidate));
+  if (ChosenTargets.empty() && !Candidate.Terms->Advice && !Candidate.Suspected)
+    FailedPlacements.push_back(
+        failedRequest(Request, Candidate, MayUseReserve));
+  std::vector<WorkerId> Result;
+  Result.reserve(ChosenTargets.size());
+  for (std::size_t Target : ChosenTargets)
+    Result.push_back(Targets[Target].Worker->Id);
+  return Result;
+}
+
+ReserveGrant PoolScheduler::reserveGrant(const StepCandidate &Candidate,
+                                         TimePoint Now) const {
+  PlacementRequest Request = requestFor(Candidate);
+  ReserveDemand Demand;
+  Demand.Service = Candidate.Terms->Service;
+  Demand.Tasks = Request.AllOrNothing ? Request.Count : 1;
+  StepKey Step = Candidate.stepKey();
+  for (const AvailableWorker &Available : AvailableWorkers) {
+    const WorkerState &Worker = *Available.Worker;
+    if (Worker.InReserve || !canServe(Worker, Candidate, Now))
+      continue;
+    if (Candidate.Terms->Advice && !Advice.ticket(Step, Worker.Info, Now) &&
+        !Advice.mayAsk(Step, Worker.Info, Now))
+      continue;
+    PlacementTarget Idle;
+    Idle.Worker = &Worker.Info;
+    Idle.Free = Worker.Info.Capacity;
+    Idle.StepTasks = tasksOfStep(Worker, Candidate);
+    Demand.FittingOutside += fittingTasks(Request, Idle);
+    if (Demand.FittingOutside >= Demand.Tasks)
+      break;
+  }
+  const TaskGroup &First = *Candidate.FirstWaiting;
+  auto Groups =
+      Candidate.Owner->Progress.groupsOf(First.Occurrence, First.Step);
+  Demand.RestoresService =
+      Candidate.Step->LongRunning &&
+      std::any_of(Groups.begin(), Groups.end(), [](const TaskGroup &Group) {
+        return startsFreely(Group) && Group.Run != RunNumber();
+      });
+  Demand.GangWaits = Reservation.has_value();
+  return Access.decide(Demand);
+}
+
+bool PoolScheduler::tryPlace(StepCandidate &Candidate, TimePoint Now,
+                             bool MaySpanRacks) {
+  const StepSpec &Step = *Candidate.Step;
+  // A candidate at its cap leaves no entry among the requests known to fail,
+  // since it fails for no lack of resources.
+  if (isAtCap(Candidate))
     return false;
+  bool MayUseReserve =
+      Candidate.Terms->Priority == 0 ||
+      (ReservationUsesReserve && ReservationOwner == Candidate.Owner->Spec.Id);
+  std::vector<WorkerId> ChosenWorkers =
+      chooseWorkers(Candidate, MaySpanRacks, MayUseReserve, Now);
+  if (ChosenWorkers.empty() && !MayUseReserve && MaySpanRacks) {
+    ReserveGrant Grant = reserveGrant(Candidate, Now);
+    if (Grant == ReserveGrant::None)
+      return false;
+    ChosenWorkers = chooseWorkers(Candidate, MaySpanRacks, true, Now);
+    if (!ChosenWorkers.empty())
+      Log.write(LogLevel::Routine, "step.uses_reserve",
+                {{"task", taskName(Candidate.FirstWaiting->task(
+                              Candidate.Owner->Spec.Id, 0))},
+                 {"tasks", ChosenWorkers.size()},
+                 {"reason", grantName(Grant)}});
   }
-  std::vector<WorkerId> ChosenWorkers;
-  ChosenWorkers.reserve(ChosenTargets.size());
-  for (std::size_t Target : ChosenTargets)
-    ChosenWorkers.push_back(Targets[Target].Worker->Id);
+  if (ChosenWorkers.empty())
+    return false;
   std::vector<TaskGroup *> Groups = Candidate.Groups;
   if (!Step.Gang)
     Groups.resize(ChosenWorkers.size());
--- a/src/pool/PoolSchedulerReclaim.cpp
+++ b/src/pool/PoolSchedulerReclaim.cpp
@@ -203,7 +203,7 @@
   if (Request.Count == 0)
     return false;
   if (!Candidate.Terms->Advice &&
-      knownToFail(FailedReclaims, Request, Candidate))
+      knownToFail(FailedReclaims, Request, Candidate, true))
     return false;
   if (ReclaimPlans++ >= Limits.MaxReclaimPlans)
     return false;
@@ -225,7 +225,7 @@
       planReclaim(Request, Options.Workers, Options.Victims);
   if (!Plan) {
     if (!Candidate.Terms->Advice)
-      FailedReclaims.push_back(failedRequest(Request, Candidate));
+      FailedReclaims.push_back(failedRequest(Request, Candidate, true));
     return false;
   }
   ReclaimedDemands[Candidate.Owner->Spec.Id] =
--- a/test/support/PoolSimulation.cpp
+++ b/test/support/PoolSimulation.cpp
@@ -187,6 +187,14 @@
       Daemon->Owner->workerChanged(Id, nullptr);
 }
 
+void PoolSimulation::labelWorker(const WorkerId &Id, const std::string &Label) {
+  PoolWorker &Worker = Directory.at(Id);
+  Worker.Labels.push_back(Label);
+  for (auto &Daemon : Daemons)
+    if (Daemon->Owner)
+      Daemon->Owner->workerChanged(Id, &Worker);
+}
+
 void PoolSimulation::resizeWorker(const WorkerId &Id,
                                   const Resources &Capacity) {
   Pool.resize(Id, Capacity);
--- a/test/support/PoolSimulation.h
+++ b/test/support/PoolSimulation.h
@@ -80,6 +80,8 @@
   void setDomainsOutOfService(const std::set<DomainId> &OutOfService);
   /// Removes a worker from the directory.
   void unlistWorker(const WorkerId &Id);
+  /// Adds a label to a worker in the directory.
+  void labelWorker(const WorkerId &Id, const std::string &Label);
   /// Changes the capacity of a worker, and its entry in the directory.
   void resizeWorker(const WorkerId &Id, const Resources &Capacity);
   /// Adds a worker to the directory, or lists it as draining.
