Take no run for lost by a truncated list of ends

Callers saw tasks run again after they had ended done (TWICE): 620 small tasks ended on one worker while it was out of reach, and the 119 or 120 whose ends were beyond the first 500 started again.

A worker lists at most 500 ends in a report; the rest follow once these are acknowledged. removeUnreportedRuns() took each run that a report lists neither as running nor as ended for lost.

Such a report shows the loss of a run only if the run belongs to an earlier incarnation of the worker. The next report, after the acknowledgement, has the other ends. The limit on one report stays, so that memory and traffic are bounded.

The same happened to inherited runs after a takeover.

--- a/src/pool/PoolScheduler.h
+++ b/src/pool/PoolScheduler.h
@@ -412,8 +412,9 @@
   std::optional<double> updateRun(WorkerState &Worker,
                                   const ReportedRun &Reported, TimePoint SentAt,
                                   TimePoint Now);
-  /// Removes runs that the worker held before the report was requested and that
-  /// the report does not list.
+  /// Removes runs that the worker held before the report was requested, and
+  /// that the report lists neither as running nor as ended. A truncated report
+  /// shows only that runs of an earlier incarnation are gone.
   void removeUnreportedRuns(WorkerState &Worker, const WorkerReport &Report,
                             TimePoint SentAt, TimePoint Now);
   /// Handles the end of all runs for which the worker has received an order.
--- a/src/pool/PoolSchedulerReports.cpp
+++ b/src/pool/PoolSchedulerReports.cpp
@@ -110,6 +110,11 @@
   }
   Worker.HasReported = true;
   Worker.WorkerIncarnation = Report.WorkerIncarnation;
+  if (Report.EndsTruncated)
+    Log.write(LogLevel::Notice, "worker.ends_truncated",
+              {{"worker", Id.str()},
+               {"listed", Report.Ended.size()},
+               {"runs_there", Worker.Runs.size()}});
   for (const ReportedEnd &End : Report.Ended)
     processEnd(Worker, End, Now);
   std::optional<double> WorstTail;
@@ -326,7 +331,11 @@
       continue;
     bool Restarted =
         Run.Life != Incarnation() && Run.Life != Report.WorkerIncarnation;
-    (Restarted ? OfEarlierLife : Unreported).push_back(Key);
+    if (Restarted)
+      OfEarlierLife.push_back(Key);
+    // The end of the run may be among those that the report leaves out.
+    else if (!Report.EndsTruncated)
+      Unreported.push_back(Key);
   }
   removeLostRuns(Worker, Unreported, LossCause::NotReported, Now);
   removeLostRuns(Worker, OfEarlierLife, LossCause::Restarted, Now);
--- a/src/pool/WorkerOrders.h
+++ b/src/pool/WorkerOrders.h
@@ -107,6 +107,9 @@
   Incarnation WorkerIncarnation;
   std::vector<ReportedRun> Running;
   std::vector<ReportedEnd> Ended;
+  /// The worker may hold more ends than the report lists. It reports them once
+  /// the listed ones are acknowledged.
+  bool EndsTruncated = false;
 };
 
 } // namespace banyanworks::pool
--- a/test/support/FakeWorkerPool.cpp
+++ b/test/support/FakeWorkerPool.cpp
@@ -386,6 +386,8 @@
   Report.Result = OrderResult::Done;
   Report.WorkerIncarnation = Incarnation(State.IncarnationNumber);
   Report.Ended = State.Ended;
+  Report.Ended.resize(std::min(Report.Ended.size(), MaxListedEnds));
+  Report.EndsTruncated = Report.Ended.size() >= MaxListedEnds;
   for (const auto &Entry : State.Runs) {
     Report.Running.push_back(
         {Entry.first.first, Entry.first.second, "",
--- a/test/support/FakeWorkerPool.h
+++ b/test/support/FakeWorkerPool.h
@@ -70,6 +70,8 @@
   /// Speeds relative to the run times of the behaviours; a worker that is not
   /// listed has speed 1. A gang advances at the pace of its slowest member.
   std::map<WorkerId, double> Speeds;
+  /// Ends in one report; the others follow once these are acknowledged.
+  std::size_t MaxListedEnds = 500;
   /// Whether reports state the progress of the runs; without it they state 0%.
   bool ReportsProgress = false;
 
