End all leases at a time that the last ownership renewal decides

Callers saw a long-running task without a run for 18 s in an idle pool (LOST): its worker was lost, the owner was killed within the worker's lease, and the successor waited 16.1 s after its takeover.

An owner that had lost the store granted full leases for 10 s more, and its successor had to assume so for each worker that did not answer, whatever had become of the owner.

LeaseHorizon now limits the leases of an owner to 3 s and the longest lease from its last renewal of the ownership, computed for a worker whose clock is slow. The ownership lease had run out at the takeover, so the successor knows the limit without asking anybody: 7.9 s after its takeover, or 11.9 s where leases last 10 s (20.2 s before). The head carries a marker; after an owner of a version without the limit, the wait is the old one. In a store outage of more than 7 s or so, work ends that was kept before.

--- a/src/pool/PoolOwner.cpp
+++ b/src/pool/PoolOwner.cpp
@@ -22,7 +22,9 @@
                      std::uint64_t Seed)
     : Store(Store), Workers(Workers), Clock(Clock), Log(Log),
       KnownJobs(KnownJobs), Self(std::move(Self)), Limits(Limits),
-      Scheduling(Scheduling), Generator(Seed) {}
+      Scheduling(Scheduling), Generator(Seed),
+      Horizon({Limits.LeaseTime, Limits.RenewWithoutStoreLimit,
+               Limits.FullLeasesWithoutStore, Limits.MaxWorkerLease}) {}
 
 PoolOwner::~PoolOwner() = default;
 
@@ -88,11 +90,12 @@
 std::string PoolOwner::nextHead() {
   return Self.str() + '/' + std::to_string(Token.value()) + '/' +
          std::to_string(Term) + '/' + std::to_string(++CommitCount) +
-         std::string(LeaseBoundsMarker);
+         std::string(Horizon.markerAt(Clock.now()));
 }
 
 void PoolOwner::claim(StoreLeaseId Lease, const StoreEntry &LastCommit,
                       TimePoint SentAt) {
+  Horizon.takenOver(Clock.now(), LastCommit.Value);
   Transaction Changes;
   Changes.Conditions = {{std::string(OwnerKey), StoreRevision()},
                         {std::string(HeadKey), LastCommit.Version}};
@@ -103,7 +106,8 @@
     Changes.Deletes.emplace_back(LeaseBoundsKey);
   std::uint64_t CallTerm = Term;
   Store.commit(Changes, Limits.CommitTimeout,
-               [this, CallTerm, SentAt](const TransactionResult &Result) {
+               [this, CallTerm, SentAt,
+                LastHead = LastCommit.Value](const TransactionResult &Result) {
                  if (CallTerm != Term)
                    return;
                  if (Result.Status != CallStatus::Done) {
@@ -112,19 +116,25 @@
                    stepDown("store did not confirm the ownership claim");
                    return;
                  }
-                 RenewedAt = SentAt;
-                 ownershipAcquired(Result.Version);
+                 recordRenewal(SentAt);
+                 ownershipAcquired(Result.Version, LastHead);
                });
 }
 
-void PoolOwner::ownershipAcquired(StoreRevision Version) {
+void PoolOwner::ownershipAcquired(StoreRevision Version,
+                                  const std::string &LastHead) {
   Phase = Role::Recovering;
   Token = Epoch(Version.value());
   Head = Version;
-  TookOverAt = Clock.now();
+  Horizon.takenOver(Clock.now(), LastHead);
   Workers.useToken(Token);
   Log.write(LogLevel::Change, "owner.acquired",
-            {{"token", Token.value()}, {"lease", Ownership.id().value()}});
+            {{"token", Token.value()},
+             {"lease", Ownership.id().value()},
+             {"earlier_leases_end_ms",
+              std::chrono::duration_cast<std::chrono::milliseconds>(
+                  Horizon.earlierLeasesEndBy() - Clock.now())
+                  .count()}});
   if (RoleChanged)
     RoleChanged(true);
   renewOwnership();
@@ -200,8 +210,8 @@
 }
 
 void PoolOwner::restoreLeaseBounds(const std::string &Stored) {
-  auto Restored = Bounds.restore(Stored, earlierLeasesEndBy(), Clock.now(),
-                                 Clock.wallNow());
+  auto Restored = Bounds.restore(Stored, Horizon.earlierLeasesEndBy(),
+                                 Clock.now(), Clock.wallNow());
   if (!Restored) {
     Log.write(LogLevel::Change, "leases.ignored",
               {{"key", LeaseBoundsKey}, {"reason", Restored.error().Message}});
@@ -245,6 +255,11 @@
   stepDown("shutting down");
 }
 
+void PoolOwner::recordRenewal(TimePoint SentAt) {
+  RenewedAt = SentAt;
+  Workers.limitLeases(Horizon.grantsEndBy(SentAt));
+}
+
 void PoolOwner::renewOwnership() {
   std::uint64_t CallTerm = Term;
   Clock.schedule(Limits.LeaseRenewal, [this, CallTerm] {
@@ -264,7 +279,7 @@
             return;
           }
           if (Result.Status == CallStatus::Done) {
-            RenewedAt = SentAt;
+            recordRenewal(SentAt);
             Ownership.recordRenewal(SentAt);
           }
           renewOwnership();
--- a/src/pool/PoolOwner.h
+++ b/src/pool/PoolOwner.h
@@ -7,6 +7,7 @@
 #include "base/Ids.h"
 #include "base/Random.h"
 #include "pool/LeaseBounds.h"
+#include "pool/LeaseHorizon.h"
 #include "pool/PoolConfiguration.h"
 #include "pool/PoolScheduler.h"
 #include "state/Lease.h"
@@ -59,9 +60,14 @@
   /// Retry delay after a request that the adviser did not answer.
   Duration AdviceRetry = std::chrono::milliseconds(100);
   /// Time for which an owner without a renewed ownership lease still renews the
-  /// workers' leases, since the store may be down for all daemons. A successor
-  /// relies on this bound for workers that it cannot reach.
+  /// workers' leases, since the store may be down for all daemons.
   Duration RenewWithoutStoreLimit = std::chrono::seconds(10);
+  /// Time after a renewal of the ownership lease for which workers are granted
+  /// their longest lease. Without another renewal, all leases end together. A
+  /// successor relies on that for workers that it cannot reach, so a longer
+  /// time keeps more work over a store outage and delays more work after a
+  /// takeover.
+  Duration FullLeasesWithoutStore = std::chrono::seconds(3);
   /// Time after a recovery within which a worker has to answer; several round
   /// trips. The leases of those that did not are recorded for a successor.
   Duration LeaseListDelay = std::chrono::seconds(1);
@@ -155,13 +161,15 @@
   /// there is none.
   void claim(StoreLeaseId Lease, const StoreEntry &LastCommit,
              TimePoint SentAt);
-  void ownershipAcquired(StoreRevision Version);
+  void ownershipAcquired(StoreRevision Version, const std::string &LastHead);
   void recover();
   void restoreJobs(const std::vector<StoreEntry> &Records);
   void restoreLeaseBounds(const std::string &Stored);
   void stepDown(std::string_view Reason);
+  /// Records a renewal of the ownership lease, sent at \p SentAt.
+  void recordRenewal(TimePoint SentAt);
   /// Whether the last renewal of the ownership is recent enough to send orders
-  /// and to extend leases; a successor relies on this bound.
+  /// and to extend leases.
   bool mayActAt(TimePoint Now) const {
     return Now - RenewedAt < Limits.RenewWithoutStoreLimit;
   }
@@ -201,8 +209,6 @@
                        TimePoint SentAt, const WorkerReport &Report);
   /// Renews the lease of a worker after a pause, if a renewal is due by then.
   void renewLater(const WorkerId &Id, Duration Pause);
-  /// Time by which all leases of earlier owners have ended.
-  TimePoint earlierLeasesEndBy() const;
   TimePoint leasesEndBy(const RenewalState &State) const;
   /// Adds the workers that have not answered in time to the list of bounds, and
   /// releases those without runs.
@@ -234,10 +240,10 @@
   Lease Ownership;
   Epoch Token;
   StoreRevision Head;
-  TimePoint TookOverAt;
   TimePoint RenewedAt;
   TimePoint RecoveredAt;
   LeaseBounds Bounds;
+  LeaseHorizon Horizon;
   bool UnansweredListed = false;
   std::unique_ptr<PoolScheduler> Scheduler;
   /// Empty until the first configuration is received.
--- a/src/pool/PoolOwnerPass.cpp
+++ b/src/pool/PoolOwnerPass.cpp
@@ -246,18 +246,13 @@
   });
 }
 
-TimePoint PoolOwner::earlierLeasesEndBy() const {
-  auto Lease = scaled(Limits.MaxWorkerLease, 1.0 / (1.0 - WorkerClockError));
-  return TookOverAt + Limits.RenewWithoutStoreLimit + Lease;
-}
-
 TimePoint PoolOwner::leasesEndBy(const RenewalState &State) const {
   TimePoint Granted = Workers.leasesEndBy(State.Worker->Id);
   if (auto Earlier = Bounds.endsBy(State.Worker->Id))
     return std::max(Granted, *Earlier);
   if (State.HasReported)
     return Granted;
-  return std::max(Granted, earlierLeasesEndBy());
+  return std::max(Granted, Horizon.earlierLeasesEndBy());
 }
 
 void PoolOwner::updateLeaseBounds(TimePoint Now) {
--- a/src/pool/WorkerLink.h
+++ b/src/pool/WorkerLink.h
@@ -30,13 +30,17 @@
 
 /// Each order is answered exactly once, from the event loop. An order without
 /// an answer may still be executed seconds later. Orders extend the worker's
-/// lease to its maximum; leasesEndBy() bounds the time at which it ends.
+/// lease to its maximum, or to the limit if that is earlier; leasesEndBy()
+/// bounds the time at which it ends.
 class WorkerLink {
 public:
   virtual ~WorkerLink() = default;
 
   /// Sets the fencing token of all further orders.
   virtual void useToken(Epoch Token) = 0;
+  /// Sets the time by which all leases granted from now on have to end, also on
+  /// a worker with a slow clock.
+  virtual void limitLeases(TimePoint EndBy) = 0;
   virtual void renew(const PoolWorker &Worker, const RenewOrder &Order,
                      std::function<void(WorkerReport)> Done) = 0;
   virtual void start(const PoolWorker &Worker, const StartOrder &Order,
--- a/test/support/FakeWorkerPool.h
+++ b/test/support/FakeWorkerPool.h
@@ -238,6 +238,7 @@
     Token = NewToken;
     Granted.clear();
   }
+  void limitLeases(TimePoint EndBy) override { LeasesEndBy = EndBy; }
   void renew(const pool::PoolWorker &Worker, const pool::RenewOrder &Order,
              std::function<void(pool::WorkerReport)> Done) override;
   void start(const pool::PoolWorker &Worker, const pool::StartOrder &Order,
@@ -264,6 +265,7 @@
   VirtualTimers &Timers;
   Random Generator;
   Epoch Token;
+  TimePoint LeasesEndBy = TimePoint::max();
   std::map<WorkerId, TimePoint> Granted;
 };
 
