--- a/test/error/pool_takeover.cpp
+++ b/test/error/pool_takeover.cpp
@@ -231,3 +231,27 @@
   Simulation->runFor(1s);
   cr_assert_eq(Simulation->Pool.runningOn(*Holder), 0U);
 }
+
+// The same for a run that was started by an order without an answer, whose
+// executor is cut off in one direction until the next owner has taken over.
+Test(pool_takeover, unanswered_start_of_a_cancelled_job_is_stopped) {
+  auto Simulation = startedSimulation();
+  std::size_t First = *Simulation->owner();
+  WorkerFaults &Faults = Simulation->daemon(First).Workers.Faults;
+  Faults.LateOrderRate = 1.0;
+  Faults.LateOrderDelay = 20ms;
+  Simulation->submit((First + 1) % 3, Simulation->job(1, 1, 8, false, 60s));
+  while (Simulation->Pool.running() == 0)
+    Simulation->runFor(1ms);
+  WorkerId Unreachable = busyWorker(*Simulation);
+  setReachable(*Simulation, Unreachable, false);
+  Simulation->cancel((First + 1) % 3, JobId(1));
+  Simulation->runFor(1s);
+  cr_assert(Simulation->visibleStatus(JobId(1)) == JobStatus::Cancelled);
+  Simulation->kill(First);
+  Simulation->runFor(2s);
+  cr_assert_eq(Simulation->Pool.running(), 1U);
+  setReachable(*Simulation, Unreachable, true);
+  Simulation->runFor(1s);
+  cr_assert_eq(Simulation->Pool.running(), 0U);
+}
