Count a crash under a start order that was not answered

Callers saw a job running without end, and other tasks on the same worker lost every few seconds (BUDGET): a task crashed its worker before the answer to the start order, and was started again on each life of that worker.

The run stayed in the phase Ordered. The order was repeated to whatever incarnation answered next, and a report of another incarnation was no evidence against a run that had never been confirmed, so that CrashRecord counted none.

An order without an answer is now repeated only after a later report of the same incarnation. A report of another one counts as a loss of the run with its worker, also if the run is a member of a gang that was aborted in between. The run is then stopped like one that has started, since a late order may still reach the new incarnation.

--- a/src/pool/PoolScheduler.h
+++ b/src/pool/PoolScheduler.h
@@ -256,6 +256,8 @@
     TimePoint SilentSince;
     bool HasReported = false;
     Incarnation WorkerIncarnation;
+    /// When the newest report was requested.
+    TimePoint ReportRequestedAt;
     Resources Allocated;
     /// Index of the worker in AvailableWorkers, if listed there.
     std::optional<std::size_t> AvailableIndex;
@@ -414,7 +416,8 @@
                                   TimePoint Now);
   /// Removes runs that the worker held before the report was requested, and
   /// that the report lists neither as running nor as ended. A truncated report
-  /// shows only that runs of an earlier incarnation are gone.
+  /// shows only that runs of an earlier incarnation are gone. An unanswered
+  /// order to an earlier incarnation counts as a run that was lost with it.
   void removeUnreportedRuns(WorkerState &Worker, const WorkerReport &Report,
                             TimePoint SentAt, TimePoint Now);
   /// Handles the end of all runs for which the worker has received an order.
--- a/src/pool/PoolSchedulerCrashes.cpp
+++ b/src/pool/PoolSchedulerCrashes.cpp
@@ -97,8 +97,11 @@
     const PlacedRun &Run = Worker.Runs.at(Key);
     GroupRef Ref = findGroup(Key.first);
     if (!Ref.Group || Ref.Group->Run != Key.second ||
-        Ref.Group->State != GroupState::Active || isFinal(Ref.Owner->Status) ||
-        Run.StopConfirmedAt)
+        Ref.Group->State != GroupState::Active || isFinal(Ref.Owner->Status))
+      continue;
+    // A stop that a later incarnation has confirmed tells nothing of a run that
+    // may have crashed the earlier one.
+    if (Run.StopConfirmedAt && !Run.isUnanswered())
       continue;
     WorkerLoss Loss;
     Loss.Member = Key.first.Index - Ref.Group->FirstIndex;
--- a/src/pool/PoolSchedulerOrders.cpp
+++ b/src/pool/PoolSchedulerOrders.cpp
@@ -27,6 +27,10 @@
       if (Run.StopRequested || Run.OrderInFlight || Now < Run.NextOrderAt ||
           Run.Phase > RunPhase::Ordered)
         continue;
+      // The worker may have crashed under the order, and the next incarnation
+      // would crash too.
+      if (Run.isUnanswered() && Worker.ReportRequestedAt < *Run.UnansweredAt)
+        continue;
       const TaskKey &Task = Current->first.first;
       GroupRef Ref = findGroup(Task);
       if (!Ref.Group || Ref.Owner->CommittedVersion < Run.PlannedVersion)
--- a/src/pool/PoolSchedulerReports.cpp
+++ b/src/pool/PoolSchedulerReports.cpp
@@ -110,6 +110,7 @@
   }
   Worker.HasReported = true;
   Worker.WorkerIncarnation = Report.WorkerIncarnation;
+  Worker.ReportRequestedAt = std::max(Worker.ReportRequestedAt, SentAt);
   if (Report.EndsTruncated)
     Log.write(LogLevel::Notice, "worker.ends_truncated",
               {{"worker", Id.str()},
@@ -322,15 +323,21 @@
     Running.emplace(Reported.Task, Reported.Run);
   std::vector<RunKey> Unreported;
   std::vector<RunKey> OfEarlierLife;
+  std::vector<RunKey> OrderedOfEarlierLife;
   for (const auto &[Key, Run] : Worker.Runs) {
     bool WasPresent =
         Run.Phase == RunPhase::Inherited ||
         (Run.Phase == RunPhase::Confirmed && Run.ConfirmedAt < SentAt);
     bool HasStopped = Run.StopConfirmedAt && *Run.StopConfirmedAt < SentAt;
-    if (Running.contains(Key) || (!WasPresent && !HasStopped))
-      continue;
     bool Restarted =
         Run.Life != Incarnation() && Run.Life != Report.WorkerIncarnation;
+    if (Running.contains(Key))
+      continue;
+    if (!WasPresent && !HasStopped) {
+      if (Restarted && Run.isUnanswered())
+        OrderedOfEarlierLife.push_back(Key);
+      continue;
+    }
     if (Restarted)
       OfEarlierLife.push_back(Key);
     // The end of the run may be among those that the report leaves out.
@@ -339,6 +346,15 @@
   }
   removeLostRuns(Worker, Unreported, LossCause::NotReported, Now);
   removeLostRuns(Worker, OfEarlierLife, LossCause::Restarted, Now);
+  // The order may still be carried out by the new incarnation, so the run is
+  // stopped as if it had started.
+  recordLosses(Worker, OrderedOfEarlierLife, LossCause::Restarted, Now);
+  for (const RunKey &Key : OrderedOfEarlierLife) {
+    Worker.Runs.at(Key).UnansweredAt.reset();
+    GroupRef Ref = findGroup(Key.first);
+    if (Ref.Group && Ref.Group->Run == Key.second)
+      abort(*Ref.Owner, *Ref.Group, causeName(LossCause::Restarted));
+  }
 }
 
 void PoolScheduler::removeLostRuns(WorkerState &Worker,
@@ -431,6 +447,8 @@
     }
     return;
   case OrderResult::NoAnswer:
+    Run.UnansweredAt = Now;
+    return;
   case OrderResult::Fenced:
     return;
   case OrderResult::Expired:
--- a/src/pool/RunTable.h
+++ b/src/pool/RunTable.h
@@ -51,6 +51,8 @@
   /// Earliest time of the next start or stop order.
   TimePoint NextOrderAt;
   bool OrderInFlight = false;
+  /// When the last start order was known to get no answer.
+  std::optional<TimePoint> UnansweredAt;
   bool StopRequested = false;
   /// When the worker confirmed the stop order.
   std::optional<TimePoint> StopConfirmedAt;
@@ -76,6 +78,11 @@
   TimePoint RatedFrom;
   /// The run has given its rate to WorkerSpeeds.
   bool Rated = false;
+
+  /// Whether an order was sent that the worker may or may not have received.
+  bool isUnanswered() const {
+    return Phase == RunPhase::Ordered && UnansweredAt.has_value();
+  }
 };
 
 using RunKey = std::pair<TaskKey, RunNumber>;
--- a/test/error/pool_deadly_tasks.cpp
+++ b/test/error/pool_deadly_tasks.cpp
@@ -79,6 +79,47 @@
   cr_assert(Simulation.visibleStatus(JobId(1)) == JobStatus::Failed);
 }
 
+namespace {
+
+/// Makes the first task of job 1 crash its worker before the start order is
+/// answered.
+void addTaskThatPreventsAnswers(PoolSimulation &Simulation) {
+  Simulation.Pool.Behaviour =
+      [Base = Simulation.Pool.Behaviour](const pool::TaskKey &Task) {
+        TaskBehaviour Result = Base(Task);
+        Result.CrashesBeforeAnswer = Task == Deadly;
+        return Result;
+      };
+}
+
+} // namespace
+
+// A task that crashed its worker before the answer to the start order was
+// started again on each incarnation of that worker, without a limit.
+Test(pool_deadly_tasks, unanswered_start_is_repeated_on_each_life_of_a_worker) {
+  PoolSimulation Simulation(7, 3, 2);
+  addTaskThatPreventsAnswers(Simulation);
+  Simulation.runFor(2s);
+  Simulation.submit(0, Simulation.job(1, 1, 4, false, 5s));
+  Simulation.runFor(90s);
+  std::size_t Starts = Simulation.Pool.startsOf(Deadly);
+  cr_assert_leq(Starts, MaxStarts, "%zu starts", Starts);
+  cr_assert(Simulation.visibleStatus(JobId(1)) == JobStatus::Failed);
+  cr_assert(Simulation.Pool.violations().empty());
+}
+
+// The same for a member of a gang.
+Test(pool_deadly_tasks, unanswered_start_of_a_gang_is_repeated_without_limit) {
+  PoolSimulation Simulation(7, 3, 2);
+  addTaskThatPreventsAnswers(Simulation);
+  Simulation.runFor(2s);
+  Simulation.submit(0, Simulation.job(1, 3, 8, true, 5s));
+  Simulation.runFor(90s);
+  std::size_t Starts = Simulation.Pool.startsOf(Deadly);
+  cr_assert_leq(Starts, MaxStarts, "%zu starts", Starts);
+  cr_assert(Simulation.visibleStatus(JobId(1)) == JobStatus::Failed);
+}
+
 Test(pool_deadly_tasks, suspect_takes_no_other_work_down_again) {
   PoolSimulation Simulation(7, 1, 2);
   addDeadlyTask(Simulation);
--- a/test/support/FakeWorkerPool.cpp
+++ b/test/support/FakeWorkerPool.cpp
@@ -113,6 +113,16 @@
   add(Info);
 }
 
+void FakeWorkerPool::crashForAWhile(const WorkerId &Id) {
+  crash(Id);
+  Clock.scheduleAfter(RestartTime, [this, Id] {
+    if (ComesBack)
+      ComesBack(Id);
+    else
+      restart(Id);
+  });
+}
+
 void FakeWorkerPool::crashLater(const WorkerId &Id, const RunKey &Key,
                                 Duration Delay) {
   Clock.scheduleAfter(Delay, [this, Id, Key, Crashing = incarnation(Id)] {
@@ -120,13 +130,7 @@
     if (!State.Up || State.IncarnationNumber != Crashing ||
         !State.Runs.contains(Key))
       return;
-    crash(Id);
-    Clock.scheduleAfter(RestartTime, [this, Id] {
-      if (ComesBack)
-        ComesBack(Id);
-      else
-        restart(Id);
-    });
+    crashForAWhile(Id);
   });
 }
 
@@ -172,6 +176,10 @@
   StartTimes.emplace_back(Clock.now(), State.Info.Domain);
   if (Started)
     Started(Order.Task, SentAt);
+  if (Task.CrashesBeforeAnswer) {
+    crashForAWhile(Order.Worker);
+    return OrderResult::NoAnswer;
+  }
   scheduleLeaseExpiry(Order.Worker);
   if (Task.CrashesAfter > Duration::zero())
     crashLater(Order.Worker, Key, Task.CrashesAfter);
--- a/test/support/FakeWorkerPool.h
+++ b/test/support/FakeWorkerPool.h
@@ -41,6 +41,8 @@
   /// Time after its start at which the task crashes its worker; zero for a task
   /// that does not.
   Duration CrashesAfter{};
+  /// The task crashes its worker before the worker answers the start order.
+  bool CrashesBeforeAnswer = false;
 };
 
 /// Simulates the workers, checks the invariants that no owner may violate, and
@@ -186,6 +188,8 @@
   void advance(const WorkerId &Id, const pool::RunKey &Key, Duration RunTime);
   double speedOf(const WorkerId &Id) const;
   std::uint32_t percentOf(const Worker &State, const pool::RunKey &Key) const;
+  /// Crashes a worker that comes back after RestartTime.
+  void crashForAWhile(const WorkerId &Id);
   void crashLater(const WorkerId &Id, const pool::RunKey &Key, Duration Delay);
   /// The answer of a worker that is not up.
   static pool::OrderResult resultOfAbsent(const Worker &State) {
