--- a/src/pool/PoolSchedulerPass.cpp
+++ b/src/pool/PoolSchedulerPass.cpp
@@ -546,12 +546,13 @@
     if (Grant == ReserveGrant::None)
       return false;
     ChosenWorkers = chooseWorkers(Candidate, MaySpanRacks, true, Now);
-    if (!ChosenWorkers.empty())
+    if (!ChosenWorkers.empty()) {
       Log.write(LogLevel::Routine, "step.uses_reserve",
                 {{"task", taskName(Candidate.FirstWaiting->task(
                               Candidate.Owner->Spec.Id, 0))},
                  {"tasks", ChosenWorkers.size()},
                  {"reason", grantName(Grant)}});
+    }
   }
   if (ChosenWorkers.empty())
     return false;
--- a/src/pool/PoolSchedulerReports.cpp
+++ b/src/pool/PoolSchedulerReports.cpp
@@ -111,11 +111,12 @@
   Worker.HasReported = true;
   Worker.WorkerIncarnation = Report.WorkerIncarnation;
   Worker.ReportRequestedAt = std::max(Worker.ReportRequestedAt, SentAt);
-  if (Report.EndsTruncated)
+  if (Report.EndsTruncated) {
     Log.write(LogLevel::Notice, "worker.ends_truncated",
               {{"worker", Id.str()},
                {"listed", Report.Ended.size()},
                {"runs_there", Worker.Runs.size()}});
+  }
   for (const ReportedEnd &End : Report.Ended)
     processEnd(Worker, End, Now);
   std::optional<double> WorstTail;
@@ -338,11 +339,10 @@
         OrderedOfEarlierLife.push_back(Key);
       continue;
     }
-    if (Restarted)
-      OfEarlierLife.push_back(Key);
     // The end of the run may be among those that the report leaves out.
-    else if (!Report.EndsTruncated)
-      Unreported.push_back(Key);
+    if (!Restarted && Report.EndsTruncated)
+      continue;
+    (Restarted ? OfEarlierLife : Unreported).push_back(Key);
   }
   removeLostRuns(Worker, Unreported, LossCause::NotReported, Now);
   removeLostRuns(Worker, OfEarlierLife, LossCause::Restarted, Now);
