Skip the look for other workers where a request is known to fail

A step that finds nothing outside the urgent reserve was compared with the workers one by one before the list of requests known to fail was asked, which then ended the attempt. In a flood of urgent work, whose failed requests cover those behind them, that search came once for each waiting step and pass. The list is asked first now; what starts, and where, is the same. The tests of pool_* in test_correctness and test_error pass. The time saved is not measured.

--- a/src/pool/PoolScheduler.h
+++ b/src/pool/PoolScheduler.h
@@ -492,7 +492,7 @@
                                       bool MaySpanRacks, bool MayUseReserve,
                                       TimePoint Now);
   /// Whether the candidate, which finds no free resources outside the urgent
-  /// reserve, may use the reserve.
+  /// reserve, may use the reserve; not if it is known to fail there too.
   ReserveGrant reserveGrant(const StepCandidate &Candidate,
                             TimePoint Now) const;
   /// Prepares the request that the adviser has to answer before the step can
--- a/src/pool/PoolSchedulerPass.cpp
+++ b/src/pool/PoolSchedulerPass.cpp
@@ -498,6 +498,10 @@
 ReserveGrant PoolScheduler::reserveGrant(const StepCandidate &Candidate,
                                          TimePoint Now) const {
   PlacementRequest Request = requestFor(Candidate);
+  // The look at the workers below is spared where it cannot lead to a start.
+  if (!Candidate.Terms->Advice &&
+      knownToFail(FailedPlacements, Request, Candidate, true))
+    return ReserveGrant::None;
   ReserveDemand Demand;
   Demand.Service = Candidate.Terms->Service;
   Demand.Tasks = Request.AllOrNothing ? Request.Count : 1;
