Tell LeaseHorizon of the predecessor once

claim() and ownershipAcquired() both passed the predecessor's head, so that the head was carried through a callback and the times computed twice, the first time for nothing. startTakeover() now takes the head, and takenOver() the time. The marker moves to StoreKeys.h, beside the one that it contains. Values stored and waits are the same; the tests of pool_* pass.

--- a/src/pool/LeaseHorizon.cpp
+++ b/src/pool/LeaseHorizon.cpp
@@ -7,8 +7,12 @@
 
 namespace banyanworks::pool {
 
-void LeaseHorizon::takenOver(TimePoint Now, std::string_view LastHead) {
-  EarlierAreLimited = LastHead.empty() || LastHead.ends_with(Marker);
+void LeaseHorizon::startTakeover(std::string_view LastHead) {
+  EarlierAreLimited = LastHead.empty() || LastHead.ends_with(LeaseLimitMarker);
+  EarlierEndBy = TimePoint::max();
+}
+
+void LeaseHorizon::takenOver(TimePoint Now) {
   // The predecessor's last renewal was made a full lifetime before its lease
   // ended, if it did not give the lease up; it grants nothing after that.
   EarlierEndBy =
@@ -19,10 +23,11 @@
 }
 
 std::string_view LeaseHorizon::markerAt(TimePoint Now) const {
-  static_assert(Marker.ends_with(LeaseBoundsMarker));
+  static_assert(LeaseLimitMarker.ends_with(LeaseBoundsMarker));
   // A version without the limit may have granted leases before this owner's
   // predecessor, until they have ended.
-  return EarlierAreLimited || Now >= EarlierEndBy ? Marker : LeaseBoundsMarker;
+  return EarlierAreLimited || Now >= EarlierEndBy ? LeaseLimitMarker
+                                                  : LeaseBoundsMarker;
 }
 
 } // namespace banyanworks::pool
--- a/src/pool/LeaseHorizon.h
+++ b/src/pool/LeaseHorizon.h
@@ -30,9 +30,6 @@
 /// latest, as the ownership lease had ended when it took over.
 class LeaseHorizon {
 public:
-  /// Ends each value of the head of an owner whose predecessors' leases all
-  /// have such a limit, or have ended. It includes LeaseBoundsMarker.
-  static constexpr std::string_view Marker = "/lease-limit/lease-bounds";
   /// Time that a worker takes to end a run whose lease is over.
   static constexpr Duration ExpirySlack = std::chrono::milliseconds(200);
 
@@ -43,10 +40,13 @@
     return RenewedAt + Times.FullLeases + Times.WorkerLease;
   }
 
-  /// Handles a takeover at \p Now. \p LastHead is the head that the
-  /// predecessor wrote; empty if there was none.
-  void takenOver(TimePoint Now, std::string_view LastHead);
-  /// Time by which all leases of earlier owners have ended.
+  /// Prepares a takeover. \p LastHead is the head that the predecessor wrote;
+  /// empty if there was none.
+  void startTakeover(std::string_view LastHead);
+  /// Handles the takeover at \p Now.
+  void takenOver(TimePoint Now);
+  /// Time by which all leases of earlier owners have ended; unlimited until the
+  /// takeover.
   TimePoint earlierLeasesEndBy() const { return EarlierEndBy; }
   /// The marker to end the next value of the head with.
   std::string_view markerAt(TimePoint Now) const;
--- a/src/pool/PoolOwner.cpp
+++ b/src/pool/PoolOwner.cpp
@@ -95,7 +95,7 @@
 
 void PoolOwner::claim(StoreLeaseId Lease, const StoreEntry &LastCommit,
                       TimePoint SentAt) {
-  Horizon.takenOver(Clock.now(), LastCommit.Value);
+  Horizon.startTakeover(LastCommit.Value);
   Transaction Changes;
   Changes.Conditions = {{std::string(OwnerKey), StoreRevision()},
                         {std::string(HeadKey), LastCommit.Version}};
@@ -106,8 +106,7 @@
     Changes.Deletes.emplace_back(LeaseBoundsKey);
   std::uint64_t CallTerm = Term;
   Store.commit(Changes, Limits.CommitTimeout,
-               [this, CallTerm, SentAt,
-                LastHead = LastCommit.Value](const TransactionResult &Result) {
+               [this, CallTerm, SentAt](const TransactionResult &Result) {
                  if (CallTerm != Term)
                    return;
                  if (Result.Status != CallStatus::Done) {
@@ -117,16 +116,15 @@
                    return;
                  }
                  recordRenewal(SentAt);
-                 ownershipAcquired(Result.Version, LastHead);
+                 ownershipAcquired(Result.Version);
                });
 }
 
-void PoolOwner::ownershipAcquired(StoreRevision Version,
-                                  const std::string &LastHead) {
+void PoolOwner::ownershipAcquired(StoreRevision Version) {
   Phase = Role::Recovering;
   Token = Epoch(Version.value());
   Head = Version;
-  Horizon.takenOver(Clock.now(), LastHead);
+  Horizon.takenOver(Clock.now());
   Workers.useToken(Token);
   Log.write(LogLevel::Change, "owner.acquired",
             {{"token", Token.value()},
--- a/src/pool/PoolOwner.h
+++ b/src/pool/PoolOwner.h
@@ -161,7 +161,7 @@
   /// there is none.
   void claim(StoreLeaseId Lease, const StoreEntry &LastCommit,
              TimePoint SentAt);
-  void ownershipAcquired(StoreRevision Version, const std::string &LastHead);
+  void ownershipAcquired(StoreRevision Version);
   void recover();
   void restoreJobs(const std::vector<StoreEntry> &Records);
   void restoreLeaseBounds(const std::string &Stored);
--- a/src/pool/StoreKeys.h
+++ b/src/pool/StoreKeys.h
@@ -37,6 +37,11 @@
 /// LeaseBounds. Versions without the list extend the leases of listed workers,
 /// so a list that is older than such a version's ownership is void.
 inline constexpr std::string_view LeaseBoundsMarker = "/lease-bounds";
+/// Ends each value of the head of an owner whose leases, and those of all its
+/// predecessors that have not ended, keep the limit of LeaseHorizon. It
+/// includes LeaseBoundsMarker.
+inline constexpr std::string_view LeaseLimitMarker =
+    "/lease-limit/lease-bounds";
 /// The JobProgress of a job, by job name.
 inline constexpr std::string_view ProgressPrefix =
     "banyanworks/owner/progress/";
--- a/test/error/pool_lease_bounds.cpp
+++ b/test/error/pool_lease_bounds.cpp
@@ -276,14 +276,16 @@
 Test(pool_lease_bounds, horizon_depends_on_the_last_renewal) {
   LeaseHorizon Horizon(Times);
   cr_assert(Horizon.grantsEndBy(TimePoint(20s)) == TimePoint(29s));
-  Horizon.takenOver(TimePoint(30s), LimitedHead);
+  Horizon.startTakeover(LimitedHead);
+  Horizon.takenOver(TimePoint(30s));
   cr_assert(Horizon.earlierLeasesEndBy() == TimePoint(37900ms));
 }
 
 /// A version without the limit renews leases for 10 s without the store.
 Test(pool_lease_bounds, horizon_of_a_version_without_a_limit_is_longer) {
   LeaseHorizon Horizon(Times);
-  Horizon.takenOver(TimePoint(30s), UnlimitedHead);
+  Horizon.startTakeover(UnlimitedHead);
+  Horizon.takenOver(TimePoint(30s));
   cr_assert(Horizon.earlierLeasesEndBy() >= TimePoint(46s));
   // A successor of this owner has to wait for those leases too.
   cr_assert_not(Horizon.markerAt(TimePoint(31s)).starts_with("/lease-limit"));
