--- a/test/error/pool_cap_faults.cpp
+++ b/test/error/pool_cap_faults.cpp
@@ -27,10 +27,8 @@
   }
   void cutOffBusyWorkers() {
     for (const WorkerId &Id : Simulation.Pool.ids()) {
-      if (Simulation.Pool.runningOn(Id) == 0)
-        continue;
-      for (std::size_t Number = 0; Number < 3; ++Number)
-        Simulation.daemon(Number).Workers.Faults.Unresponsive.insert(Id);
+      if (Simulation.Pool.runningOn(Id) > 0)
+        Simulation.setReachable(Id, false);
     }
   }
   ~FullWorkspace() {
@@ -53,8 +51,8 @@
     Simulation.runFor(3s);
     cr_assert(Simulation.owner());
     cr_assert_eq(Simulation.Pool.starts(), 4U);
-    for (std::size_t Number = 0; Number < 3; ++Number)
-      Simulation.daemon(Number).Workers.Faults.Unresponsive.clear();
+    for (const WorkerId &Id : Simulation.Pool.ids())
+      Simulation.setReachable(Id, true);
     Simulation.runFor(30s);
     cr_assert(Simulation.visibleStatus(JobId(1)) == JobStatus::Completed);
   }
--- a/test/error/pool_cut_worker.cpp
+++ b/test/error/pool_cut_worker.cpp
@@ -19,12 +19,11 @@
     Simulation.runFor(2s);
     Simulation.submit(0, Simulation.job(1, 6, 8, false, 12s));
     Simulation.runFor(2s + Phase);
-    for (std::size_t Number = 0; Number < Simulation.daemonCount(); ++Number)
-      for (const WorkerId &Id : Simulation.Pool.ids())
-        Simulation.daemon(Number).Workers.Faults.Unresponsive.insert(Id);
+    for (const WorkerId &Id : Simulation.Pool.ids())
+      Simulation.setReachable(Id, false);
     Simulation.runFor(Cut);
-    for (std::size_t Number = 0; Number < Simulation.daemonCount(); ++Number)
-      Simulation.daemon(Number).Workers.Faults.Unresponsive.clear();
+    for (const WorkerId &Id : Simulation.Pool.ids())
+      Simulation.setReachable(Id, true);
     Simulation.runFor(8s);
     cr_assert(Simulation.visibleStatus(JobId(1)) == pool::JobStatus::Completed);
     cr_assert_eq(Simulation.Pool.starts(), 6, "phase %ld ms: %zu starts",
--- a/test/error/pool_deadly_tasks.cpp
+++ b/test/error/pool_deadly_tasks.cpp
@@ -7,6 +7,7 @@
 #include <criterion/criterion.h>
 
 #include <algorithm>
+#include <functional>
 
 using namespace banyanworks;
 using namespace banyanworks::testing;
@@ -19,16 +20,36 @@
 constexpr std::size_t MaxStarts = 5;
 constexpr pool::TaskKey Deadly{JobId(1), 0, 0, 0};
 
+/// Changes how the first task of job 1 behaves.
+void alterDeadlyTask(PoolSimulation &Simulation,
+                     const std::function<void(TaskBehaviour &)> &Alter) {
+  Simulation.Pool.Behaviour = [Base = Simulation.Pool.Behaviour,
+                               Alter](const pool::TaskKey &Task) {
+    TaskBehaviour Result = Base(Task);
+    if (Task == Deadly)
+      Alter(Result);
+    return Result;
+  };
+}
+
 /// Makes the first task of job 1 deadly.
 void addDeadlyTask(PoolSimulation &Simulation) {
   Simulation.Pool.ReportsProgress = true;
-  Simulation.Pool.Behaviour =
-      [Base = Simulation.Pool.Behaviour](const pool::TaskKey &Task) {
-        TaskBehaviour Result = Base(Task);
-        if (Task == Deadly)
-          Result.CrashesAfter = 10ms;
-        return Result;
-      };
+  alterDeadlyTask(Simulation,
+                  [](TaskBehaviour &Task) { Task.CrashesAfter = 10ms; });
+}
+
+/// Makes the first task of job 1 crash its worker before the start order is
+/// answered.
+void addTaskThatPreventsAnswers(PoolSimulation &Simulation) {
+  alterDeadlyTask(Simulation,
+                  [](TaskBehaviour &Task) { Task.CrashesBeforeAnswer = true; });
+}
+
+void expectGivenUp(const PoolSimulation &Simulation) {
+  std::size_t Starts = Simulation.Pool.startsOf(Deadly);
+  cr_assert_leq(Starts, MaxStarts, "%zu starts", Starts);
+  cr_assert(Simulation.visibleStatus(JobId(1)) == JobStatus::Failed);
 }
 
 } // namespace
@@ -39,9 +60,7 @@
   Simulation.runFor(2s);
   Simulation.submit(0, Simulation.job(1, 1, 4, false, 5s));
   Simulation.runFor(60s);
-  std::size_t Starts = Simulation.Pool.startsOf(Deadly);
-  cr_assert_leq(Starts, MaxStarts, "%zu starts", Starts);
-  cr_assert(Simulation.visibleStatus(JobId(1)) == JobStatus::Failed);
+  expectGivenUp(Simulation);
 }
 
 Test(pool_deadly_tasks,
@@ -56,9 +75,7 @@
       Simulation.restart(*Owner);
   }
   Simulation.runFor(60s);
-  std::size_t Starts = Simulation.Pool.startsOf(Deadly);
-  cr_assert_leq(Starts, MaxStarts, "%zu starts", Starts);
-  cr_assert(Simulation.visibleStatus(JobId(1)) == JobStatus::Failed);
+  expectGivenUp(Simulation);
 }
 
 Test(pool_deadly_tasks, deadly_task_is_given_up_where_workers_come_back_anew) {
@@ -74,26 +91,9 @@
   Simulation.runFor(2s);
   Simulation.submit(0, Simulation.job(1, 1, 4, false, 5s));
   Simulation.runFor(60s);
-  std::size_t Starts = Simulation.Pool.startsOf(Deadly);
-  cr_assert_leq(Starts, MaxStarts, "%zu starts", Starts);
-  cr_assert(Simulation.visibleStatus(JobId(1)) == JobStatus::Failed);
-}
-
-namespace {
-
-/// Makes the first task of job 1 crash its worker before the start order is
-/// answered.
-void addTaskThatPreventsAnswers(PoolSimulation &Simulation) {
-  Simulation.Pool.Behaviour =
-      [Base = Simulation.Pool.Behaviour](const pool::TaskKey &Task) {
-        TaskBehaviour Result = Base(Task);
-        Result.CrashesBeforeAnswer = Task == Deadly;
-        return Result;
-      };
+  expectGivenUp(Simulation);
 }
 
-} // namespace
-
 // A task that crashed its worker before the answer to the start order was
 // started again on each incarnation of that worker, without a limit.
 Test(pool_deadly_tasks, unanswered_start_is_repeated_on_each_life_of_a_worker) {
@@ -102,9 +102,7 @@
   Simulation.runFor(2s);
   Simulation.submit(0, Simulation.job(1, 1, 4, false, 5s));
   Simulation.runFor(90s);
-  std::size_t Starts = Simulation.Pool.startsOf(Deadly);
-  cr_assert_leq(Starts, MaxStarts, "%zu starts", Starts);
-  cr_assert(Simulation.visibleStatus(JobId(1)) == JobStatus::Failed);
+  expectGivenUp(Simulation);
   cr_assert(Simulation.Pool.violations().empty());
 }
 
@@ -115,9 +113,7 @@
   Simulation.runFor(2s);
   Simulation.submit(0, Simulation.job(1, 3, 8, true, 5s));
   Simulation.runFor(90s);
-  std::size_t Starts = Simulation.Pool.startsOf(Deadly);
-  cr_assert_leq(Starts, MaxStarts, "%zu starts", Starts);
-  cr_assert(Simulation.visibleStatus(JobId(1)) == JobStatus::Failed);
+  expectGivenUp(Simulation);
 }
 
 Test(pool_deadly_tasks, suspect_takes_no_other_work_down_again) {
--- a/test/error/pool_many_ends.cpp
+++ b/test/error/pool_many_ends.cpp
@@ -4,8 +4,6 @@
 
 #include <criterion/criterion.h>
 
-#include <algorithm>
-
 using namespace banyanworks;
 using namespace banyanworks::testing;
 using namespace banyanworks::pool;
@@ -33,16 +31,6 @@
     cr_assert_eq(Simulation.Pool.runningOn(Worker), Tasks);
   }
 
-  void setReachable(bool Reachable) {
-    for (std::size_t Number = 0; Number < Simulation.daemonCount(); ++Number) {
-      auto &Unresponsive =
-          Simulation.daemon(Number).Workers.Faults.Unresponsive;
-      Unresponsive.clear();
-      if (!Reachable)
-        Unresponsive.insert(Worker);
-    }
-  }
-
   void expectEachRanOnce() {
     cr_assert(Simulation.visibleStatus(JobId(1)) == JobStatus::Completed);
     cr_assert_eq(Simulation.Pool.starts(), Tasks);
@@ -55,9 +43,9 @@
 // The tasks whose ends were left out of the first report started again.
 Test(pool_many_ends, ends_beyond_the_first_report_count) {
   ManyTasks Many(4s);
-  Many.setReachable(false);
+  Many.Simulation.setReachable(Many.Worker, false);
   Many.Simulation.runFor(4s);
-  Many.setReachable(true);
+  Many.Simulation.setReachable(Many.Worker, true);
   Many.Simulation.runFor(5s);
   Many.expectEachRanOnce();
 }
@@ -65,11 +53,11 @@
 // The same for the tasks that a successor inherits.
 Test(pool_many_ends, successor_counts_ends_beyond_the_first_report) {
   ManyTasks Many(4s);
-  Many.setReachable(false);
+  Many.Simulation.setReachable(Many.Worker, false);
   Many.Simulation.runFor(1s);
   Many.Simulation.kill(*Many.Simulation.owner());
   Many.Simulation.runFor(3s);
-  Many.setReachable(true);
+  Many.Simulation.setReachable(Many.Worker, true);
   Many.Simulation.runFor(5s);
   Many.expectEachRanOnce();
 }
--- a/test/error/pool_takeover.cpp
+++ b/test/error/pool_takeover.cpp
@@ -4,10 +4,6 @@
 
 #include <criterion/criterion.h>
 
-#include <algorithm>
-#include <set>
-#include <vector>
-
 using namespace banyanworks;
 using namespace banyanworks::testing;
 using namespace banyanworks::pool;
@@ -94,12 +90,11 @@
   Simulation->submit(0, Simulation->job(1, 1, 8, false, 2s));
   Simulation->runFor(1s);
   // The task ends while no daemon reaches its worker, which retains the end.
-  for (std::size_t Number = 0; Number < Simulation->daemonCount(); ++Number)
-    for (const WorkerId &Id : Simulation->Pool.ids())
-      Simulation->daemon(Number).Workers.Faults.Unresponsive.insert(Id);
+  for (const WorkerId &Id : Simulation->Pool.ids())
+    Simulation->setReachable(Id, false);
   Simulation->runFor(4s);
-  for (std::size_t Number = 0; Number < Simulation->daemonCount(); ++Number)
-    Simulation->daemon(Number).Workers.Faults.Unresponsive.clear();
+  for (const WorkerId &Id : Simulation->Pool.ids())
+    Simulation->setReachable(Id, true);
   Simulation->runFor(4s);
   cr_assert(Simulation->visibleStatus(JobId(1)) == JobStatus::Completed);
   cr_assert_eq(Simulation->Pool.starts(), 1);
@@ -127,8 +122,7 @@
   Simulation.runFor(2s);
   std::size_t First = *Simulation.owner();
   WorkerId Unreachable = Simulation.Pool.ids().front();
-  for (std::size_t Number = 0; Number < Simulation.daemonCount(); ++Number)
-    Simulation.daemon(Number).Workers.Faults.Unresponsive.insert(Unreachable);
+  Simulation.setReachable(Unreachable, false);
   for (const WorkerId &Other : Simulation.Pool.ids())
     if (Other != Unreachable)
       Simulation.listWorker(Other, true);
@@ -153,39 +147,14 @@
     resumeAfterLongPause(After);
 }
 
-namespace {
-
-/// Makes a worker unreachable for all daemons, or reachable again.
-void setReachable(PoolSimulation &Simulation, const WorkerId &Id,
-                  bool Reachable) {
-  for (std::size_t Number = 0; Number < Simulation.daemonCount(); ++Number) {
-    std::set<WorkerId> &Unresponsive =
-        Simulation.daemon(Number).Workers.Faults.Unresponsive;
-    if (Reachable)
-      Unresponsive.erase(Id);
-    else
-      Unresponsive.insert(Id);
-  }
-}
-
-/// Returns a worker that holds runs.
-WorkerId busyWorker(const PoolSimulation &Simulation) {
-  std::vector<WorkerId> Ids = Simulation.Pool.ids();
-  return *std::find_if(Ids.begin(), Ids.end(), [&](const WorkerId &Id) {
-    return Simulation.Pool.runningOn(Id) > 0;
-  });
-}
-
-} // namespace
-
 // A successor adopted the tasks of a job that its predecessor had recorded as
 // cancelled, and kept them running.
 Test(pool_takeover, run_of_a_job_recorded_as_cancelled_is_stopped) {
   auto Simulation = startedSimulation();
   Simulation->submit(0, Simulation->job(1, 2, 8, false, 60s));
   Simulation->runFor(1s);
-  WorkerId Unreachable = busyWorker(*Simulation);
-  setReachable(*Simulation, Unreachable, false);
+  WorkerId Unreachable = *Simulation->Pool.holderOf({JobId(1), 0, 0, 0});
+  Simulation->setReachable(Unreachable, false);
   std::size_t First = *Simulation->owner();
   Simulation->cancel((First + 1) % 3, JobId(1));
   Simulation->runFor(1s);
@@ -194,7 +163,7 @@
   Simulation->runFor(2s);
   cr_assert(Simulation->owner() && *Simulation->owner() != First);
   cr_assert_eq(Simulation->Pool.runningOn(Unreachable), 1U);
-  setReachable(*Simulation, Unreachable, true);
+  Simulation->setReachable(Unreachable, true);
   Simulation->runFor(1s);
   cr_assert_eq(Simulation->Pool.runningOn(Unreachable), 0U);
 }
@@ -215,25 +184,22 @@
   };
   Simulation->submit(0, Spec);
   Simulation->runFor(500ms);
-  std::vector<WorkerId> Ids = Simulation->Pool.ids();
-  auto Holder = std::find_if(Ids.begin(), Ids.end(), [&](const WorkerId &Id) {
-    return Simulation->Pool.holds(Id, {JobId(1), 0, 0, 0});
-  });
-  setReachable(*Simulation, *Holder, false);
+  WorkerId Holder = *Simulation->Pool.holderOf({JobId(1), 0, 0, 0});
+  Simulation->setReachable(Holder, false);
   Simulation->runFor(2500ms);
   cr_assert(Simulation->visibleStatus(JobId(1)) == JobStatus::Failed);
   std::size_t First = *Simulation->owner();
   Simulation->kill(First);
   Simulation->runFor(2s);
   cr_assert(Simulation->owner() && *Simulation->owner() != First);
-  cr_assert_eq(Simulation->Pool.runningOn(*Holder), 1U);
-  setReachable(*Simulation, *Holder, true);
+  cr_assert_eq(Simulation->Pool.runningOn(Holder), 1U);
+  Simulation->setReachable(Holder, true);
   Simulation->runFor(1s);
-  cr_assert_eq(Simulation->Pool.runningOn(*Holder), 0U);
+  cr_assert_eq(Simulation->Pool.runningOn(Holder), 0U);
 }
 
 // The same for a run that was started by an order without an answer, whose
-// executor is cut off in one direction until the next owner has taken over.
+// worker is cut off in one direction until the next owner has taken over.
 Test(pool_takeover, unanswered_start_of_a_cancelled_job_is_stopped) {
   auto Simulation = startedSimulation();
   std::size_t First = *Simulation->owner();
@@ -243,15 +209,15 @@
   Simulation->submit((First + 1) % 3, Simulation->job(1, 1, 8, false, 60s));
   while (Simulation->Pool.running() == 0)
     Simulation->runFor(1ms);
-  WorkerId Unreachable = busyWorker(*Simulation);
-  setReachable(*Simulation, Unreachable, false);
+  WorkerId Unreachable = *Simulation->Pool.holderOf({JobId(1), 0, 0, 0});
+  Simulation->setReachable(Unreachable, false);
   Simulation->cancel((First + 1) % 3, JobId(1));
   Simulation->runFor(1s);
   cr_assert(Simulation->visibleStatus(JobId(1)) == JobStatus::Cancelled);
   Simulation->kill(First);
   Simulation->runFor(2s);
   cr_assert_eq(Simulation->Pool.running(), 1U);
-  setReachable(*Simulation, Unreachable, true);
+  Simulation->setReachable(Unreachable, true);
   Simulation->runFor(1s);
   cr_assert_eq(Simulation->Pool.running(), 0U);
 }
--- a/test/support/FakeWorkerPool.cpp
+++ b/test/support/FakeWorkerPool.cpp
@@ -354,6 +354,15 @@
   return Worst;
 }
 
+std::optional<WorkerId> FakeWorkerPool::holderOf(const TaskKey &Task) const {
+  for (const auto &[Id, State] : Workers) {
+    for (const auto &Entry : State.Runs)
+      if (Entry.first.first == Task)
+        return Id;
+  }
+  return std::nullopt;
+}
+
 std::optional<std::uint32_t> FakeWorkerPool::paceOf(const TaskKey &Task) const {
   for (const auto &[Id, State] : Workers) {
     for (const auto &Entry : State.Runs) {
--- a/test/support/FakeWorkerPool.h
+++ b/test/support/FakeWorkerPool.h
@@ -132,13 +132,8 @@
   std::size_t runningOn(const WorkerId &Id) const {
     return Workers.at(Id).Runs.size();
   }
-  /// Whether a run of the task is on the worker.
-  bool holds(const WorkerId &Id, const pool::TaskKey &Task) const {
-    const auto &Runs = Workers.at(Id).Runs;
-    return std::any_of(Runs.begin(), Runs.end(), [&Task](const auto &Entry) {
-      return Entry.first.first == Task;
-    });
-  }
+  /// The worker that holds a run of the task; nullopt if none does.
+  std::optional<WorkerId> holderOf(const pool::TaskKey &Task) const;
   /// Number of running tasks on all workers that are up.
   std::size_t running() const;
   /// Visits the running tasks on all workers that are up.
--- a/test/support/PoolFaultRun.cpp
+++ b/test/support/PoolFaultRun.cpp
@@ -220,8 +220,7 @@
         if (Generator.withProbability(0.7))
           Simulation.daemon(Number).Workers.Faults.Unresponsive.insert(Target);
       removeFaultLater(FaultDuration, [this, Target] {
-        for (std::size_t Number = 0; Number < Daemons; ++Number)
-          Simulation.daemon(Number).Workers.Faults.Unresponsive.erase(Target);
+        Simulation.setReachable(Target, true);
       });
       break;
     case 7:
--- a/test/support/PoolSimulation.cpp
+++ b/test/support/PoolSimulation.cpp
@@ -180,19 +180,33 @@
       Daemon->Owner->setDomainsOutOfService(OutOfService);
 }
 
-void PoolSimulation::unlistWorker(const WorkerId &Id) {
-  Directory.erase(Id);
+void PoolSimulation::announce(const WorkerId &Id) {
+  auto Listed = Directory.find(Id);
+  const PoolWorker *Entry =
+      Listed == Directory.end() ? nullptr : &Listed->second;
   for (auto &Daemon : Daemons)
     if (Daemon->Owner)
-      Daemon->Owner->workerChanged(Id, nullptr);
+      Daemon->Owner->workerChanged(Id, Entry);
+}
+
+void PoolSimulation::setReachable(const WorkerId &Id, bool Reachable) {
+  for (auto &Daemon : Daemons) {
+    std::set<WorkerId> &Unresponsive = Daemon->Workers.Faults.Unresponsive;
+    if (Reachable)
+      Unresponsive.erase(Id);
+    else
+      Unresponsive.insert(Id);
+  }
+}
+
+void PoolSimulation::unlistWorker(const WorkerId &Id) {
+  Directory.erase(Id);
+  announce(Id);
 }
 
 void PoolSimulation::labelWorker(const WorkerId &Id, const std::string &Label) {
-  PoolWorker &Worker = Directory.at(Id);
-  Worker.Labels.push_back(Label);
-  for (auto &Daemon : Daemons)
-    if (Daemon->Owner)
-      Daemon->Owner->workerChanged(Id, &Worker);
+  Directory.at(Id).Labels.push_back(Label);
+  announce(Id);
 }
 
 void PoolSimulation::resizeWorker(const WorkerId &Id,
@@ -202,18 +216,14 @@
   if (Listed == Directory.end())
     return;
   Listed->second.Capacity = Capacity;
-  for (auto &Daemon : Daemons)
-    if (Daemon->Owner)
-      Daemon->Owner->workerChanged(Id, &Listed->second);
+  announce(Id);
 }
 
 void PoolSimulation::listWorker(const WorkerId &Id, bool Draining) {
   PoolWorker &Worker = Directory.emplace(Id, Pool.info(Id)).first->second;
   Worker.Draining = Draining;
   Worker.LeavesIn = 2s;
-  for (auto &Daemon : Daemons)
-    if (Daemon->Owner)
-      Daemon->Owner->workerChanged(Id, &Worker);
+  announce(Id);
 }
 
 } // namespace banyanworks::testing
--- a/test/support/PoolSimulation.h
+++ b/test/support/PoolSimulation.h
@@ -86,6 +86,8 @@
   void resizeWorker(const WorkerId &Id, const Resources &Capacity);
   /// Adds a worker to the directory, or lists it as draining.
   void listWorker(const WorkerId &Id, bool Draining = false);
+  /// Sets whether the daemons reach a worker.
+  void setReachable(const WorkerId &Id, bool Reachable);
 
   /// Gives the configuration to all running daemons.
   void applyConfiguration();
@@ -109,6 +111,9 @@
 
 private:
   void startDaemon(std::size_t Number);
+  /// Tells all daemons of a worker's entry in the directory, or that it has
+  /// none.
+  void announce(const WorkerId &Id);
 
   std::uint64_t Seed;
   pool::PoolLimits Limits;
