--- a/test/support/FakeWorkerPool.cpp
+++ b/test/support/FakeWorkerPool.cpp
@@ -434,6 +434,11 @@
     Timers.schedule(AnswerTimeout, [Done] { Done(OrderResult::NoAnswer); });
     return;
   }
+  if (Faults.Unheard.contains(Id)) {
+    Clock.scheduleAfter(Faults.Latency, [Work] { Work(); });
+    Timers.schedule(AnswerTimeout, [Done] { Done(OrderResult::NoAnswer); });
+    return;
+  }
   if (Generator.withProbability(Faults.LateOrderRate)) {
     // The worker has received the order, so the order is lost if the process
     // restarts.
@@ -511,11 +516,10 @@
   Clock.scheduleAfter(
       Faults.Latency, [this, Id, Order, Done, First, StartedIncarnation] {
         auto Answer = [this, Id, Order, Done, First] {
-          if (First->Result == OrderResult::Done &&
-              !Faults.Unresponsive.contains(Id))
-            *First = Pool.renew(Id, Token, Order.Acknowledged, TimePoint());
-          else if (Faults.Unresponsive.contains(Id))
+          if (Faults.Unresponsive.contains(Id) || Faults.Unheard.contains(Id))
             *First = WorkerReport();
+          else if (First->Result == OrderResult::Done)
+            *First = Pool.renew(Id, Token, Order.Acknowledged, TimePoint());
           Timers.schedule(Faults.Latency, [Done, First] { Done(*First); });
         };
         waitForEnd(Id, Clock.now() + Order.MaxWait, StartedIncarnation, Answer);
--- a/test/support/FakeWorkerPool.h
+++ b/test/support/FakeWorkerPool.h
@@ -217,6 +217,8 @@
 struct WorkerFaults {
   /// Workers that do not receive any call.
   std::set<WorkerId> Unresponsive;
+  /// Workers that execute calls and whose answers are lost.
+  std::set<WorkerId> Unheard;
   /// Fraction of orders that get no answer and are executed late.
   double LateOrderRate = 0.0;
   Duration LateOrderDelay = std::chrono::seconds(3);
