Stop a run again that outlasts a confirmed stop

A task of a cancelled job could run on although the log said that it was stopped. The order was never repeated, and the lease of the worker was renewed as long as its reports listed the run. An answer proves nothing where the worker has restarted under its id since, and carries a delayed start order out, or where it does not end the run within StopTime.

A report that lists the run later than that, or from another incarnation, now has the stop repeated. A run whose start order was not answered is stopped at the incarnation that reports, although an earlier one confirmed a stop.

--- a/src/pool/PoolSchedulerReports.cpp
+++ b/src/pool/PoolSchedulerReports.cpp
@@ -256,6 +256,13 @@
                {"worker", Worker.Info.Id.str()}});
   }
   PlacedRun &Run = Found->second;
+  if (Run.outlastsStop(Worker.WorkerIncarnation, SentAt, Limits.StopTime)) {
+    Log.write(LogLevel::Notice, "run.outlasts_stop",
+              {{"task", taskName(Reported.Task)},
+               {"run", Reported.Run.value()},
+               {"worker", Worker.Info.Id.str()}});
+    Run.repeatStop(Worker.WorkerIncarnation);
+  }
   if (Run.Phase != RunPhase::Confirmed) {
     Run.Phase = RunPhase::Confirmed;
     Run.ConfirmedAt = SentAt;
@@ -330,15 +337,15 @@
         Run.Phase == RunPhase::Inherited ||
         (Run.Phase == RunPhase::Confirmed && Run.ConfirmedAt < SentAt);
     bool HasStopped = Run.StopConfirmedAt && *Run.StopConfirmedAt < SentAt;
-    bool Restarted =
-        Run.Life != Incarnation() && Run.Life != Report.WorkerIncarnation;
+    bool Restarted = Run.isOfEarlierLife(Report.WorkerIncarnation);
     if (Running.contains(Key))
       continue;
-    if (!WasPresent && !HasStopped) {
-      if (Restarted && Run.isUnanswered())
-        OrderedOfEarlierLife.push_back(Key);
+    if (Restarted && Run.isUnanswered()) {
+      OrderedOfEarlierLife.push_back(Key);
       continue;
     }
+    if (!WasPresent && !HasStopped)
+      continue;
     // The end of the run may be among those that the report leaves out.
     if (!Restarted && Report.EndsTruncated)
       continue;
@@ -350,7 +357,9 @@
   // stopped as if it had started.
   recordLosses(Worker, OrderedOfEarlierLife, LossCause::Restarted, Now);
   for (const RunKey &Key : OrderedOfEarlierLife) {
-    Worker.Runs.at(Key).UnansweredAt.reset();
+    PlacedRun &Run = Worker.Runs.at(Key);
+    Run.UnansweredAt.reset();
+    Run.repeatStop(Report.WorkerIncarnation);
     GroupRef Ref = findGroup(Key.first);
     if (Ref.Group && Ref.Group->Run == Key.second)
       abort(*Ref.Owner, *Ref.Group, causeName(LossCause::Restarted));
--- a/src/pool/RunTable.h
+++ b/src/pool/RunTable.h
@@ -83,6 +83,25 @@
   bool isUnanswered() const {
     return Phase == RunPhase::Ordered && UnansweredAt.has_value();
   }
+  /// Whether the worker has restarted since the run was ordered, if \p Reported
+  /// is its incarnation.
+  bool isOfEarlierLife(Incarnation Reported) const {
+    return Life != Incarnation() && Life != Reported;
+  }
+  /// Whether a report that lists the run, requested at \p RequestedAt, shows
+  /// that the confirmed stop has not ended it: the incarnation that confirmed
+  /// it is gone, or a stop takes no longer than \p StopTime.
+  bool outlastsStop(Incarnation Reported, TimePoint RequestedAt,
+                    Duration StopTime) const {
+    return StopConfirmedAt && (isOfEarlierLife(Reported) ||
+                               RequestedAt > *StopConfirmedAt + StopTime);
+  }
+  /// Has the run stopped again at \p Current, the worker's incarnation.
+  void repeatStop(Incarnation Current) {
+    Life = Current;
+    StopConfirmedAt.reset();
+    NextOrderAt = TimePoint();
+  }
 };
 
 using RunKey = std::pair<TaskKey, RunNumber>;
