Guard the stop of stray runs

No test failed when a run that the owner does not know was left alone: the line was removed on a scratch copy, and all tests of the pool passed. The new test fails then.

--- a/test/error/pool_repeated_stops.cpp
+++ b/test/error/pool_repeated_stops.cpp
@@ -126,3 +126,14 @@
   Run.Scheduler.committed(Run.Scheduler.changes(100), Run.Now);
   cr_assert(Run.Scheduler.removeJob(Task.Job));
 }
+
+// A run that the owner no longer knows, as after a delayed start order, was
+// kept alive although its job was cancelled.
+Test(pool_repeated_stops, stray_run_of_a_cancelled_job_is_stopped) {
+  CancelledRun Run;
+  Run.Scheduler.startAnswered(Run.Start, OrderResult::NoAnswer, Run.Now);
+  Run.cancel();
+  Run.report(FirstLife, false);
+  Run.report(FirstLife, true);
+  Run.expectStop();
+}
