Say in the run table what an incarnation and a confirmed stop prove

A newcomer's reading of the fix: the field is moved when a run is stopped again, and the comments named the incarnation that confirmed the stop, which is not what is compared. Comments only.

--- a/src/pool/PoolSchedulerReports.cpp
+++ b/src/pool/PoolSchedulerReports.cpp
@@ -340,6 +340,7 @@
     bool Restarted = Run.isOfEarlierLife(Report.WorkerIncarnation);
     if (Running.contains(Key))
       continue;
+    // A stop that an earlier incarnation has confirmed does not bind this one.
     if (Restarted && Run.isUnanswered()) {
       OrderedOfEarlierLife.push_back(Key);
       continue;
--- a/src/pool/RunTable.h
+++ b/src/pool/RunTable.h
@@ -39,8 +39,8 @@
   RunPhase Phase = RunPhase::Planned;
   /// An earlier owner ordered the run, at an unknown time.
   bool Inherited = false;
-  /// The incarnation of the worker that the run was ordered from; zero if it is
-  /// not known.
+  /// The incarnation of the worker that the run was last ordered from, or
+  /// stopped at again; zero if it is not known.
   Incarnation Life;
   /// Version of the job that has to be recorded before the first order.
   std::uint64_t PlannedVersion = 0;
@@ -83,20 +83,20 @@
   bool isUnanswered() const {
     return Phase == RunPhase::Ordered && UnansweredAt.has_value();
   }
-  /// Whether the worker has restarted since the run was ordered, if \p Reported
-  /// is its incarnation.
+  /// Whether the worker has restarted since the order, if \p Reported is its
+  /// incarnation.
   bool isOfEarlierLife(Incarnation Reported) const {
     return Life != Incarnation() && Life != Reported;
   }
   /// Whether a report that lists the run, requested at \p RequestedAt, shows
-  /// that the confirmed stop has not ended it: the incarnation that confirmed
-  /// it is gone, or a stop takes no longer than \p StopTime.
+  /// that a confirmed stop does not end it: the worker may have restarted
+  /// since, or a stop takes no longer than \p StopTime.
   bool outlastsStop(Incarnation Reported, TimePoint RequestedAt,
                     Duration StopTime) const {
     return StopConfirmedAt && (isOfEarlierLife(Reported) ||
                                RequestedAt > *StopConfirmedAt + StopTime);
   }
-  /// Has the run stopped again at \p Current, the worker's incarnation.
+  /// Makes a stop order due again, for the worker's incarnation \p Current.
   void repeatStop(Incarnation Current) {
     Life = Current;
     StopConfirmedAt.reset();
