Share the scripted pool of three tests

pool_repeated_stops brought a third copy of the fixture in which a test gives the answers of workers to a scheduler; pool_shrunk_workers and pool_deadly_tasks had one each. ScriptedPool serves all three. The assertions stay as they were.

--- a/test/error/pool_deadly_tasks.cpp
+++ b/test/error/pool_deadly_tasks.cpp
@@ -3,6 +3,7 @@
 /// started again without a limit, since no worker reports the end of such a
 /// run, and against innocent tasks that are given up because workers crash.
 #include "support/PoolSimulation.h"
+#include "support/ScriptedPool.h"
 
 #include <criterion/criterion.h>
 
@@ -209,41 +210,11 @@
 
 namespace {
 
-/// A scheduler with one waiting task, whose workers' answers the test gives.
-struct OneTask {
-  static constexpr TimePoint Now{100s};
-  static constexpr WallTime Wall{100s};
+/// A pool with one waiting task.
+struct OneTask : ScriptedPool {
+  static constexpr Resources PerTask{1000, 1024, 1};
 
-  VirtualClock Clock;
-  RecordingLog Log{Clock};
-  PoolScheduler Scheduler{PoolLimits(), Log};
-
-  OneTask() {
-    PoolConfiguration Configuration;
-    QueueSpec Queue;
-    Queue.Id = QueueId("batch");
-    Queue.Terms.Service = ServiceId("service");
-    Configuration.Queues = {Queue};
-    Scheduler.configure(Configuration);
-    Scheduler.submit(job(1), JobStatus::Queued);
-  }
-
-  static pool::JobSpec job(std::uint64_t Id) {
-    pool::JobSpec Spec;
-    Spec.Id = JobId(Id);
-    Spec.Queue = QueueId("batch");
-    Spec.Steps.emplace_back().PerTask = {1000, 1024, 1};
-    return Spec;
-  }
-
-  void list(const char *Name) {
-    PoolWorker Worker;
-    Worker.Id = WorkerId(Name);
-    Worker.Address = std::string(Name) + ":1";
-    Worker.Service = ServiceId("service");
-    Worker.Capacity = {32000, 131072, 8};
-    Scheduler.updateWorker(Worker, Now);
-  }
+  OneTask() { submit(1, PerTask); }
 
   void answer(const char *Name, OrderResult Result, Duration After = {}) {
     WorkerReport Report;
@@ -251,11 +222,7 @@
     Scheduler.workerReported(WorkerId(Name), Report, Now, Now + After);
   }
 
-  void start() {
-    Scheduler.runPass(Now, Wall);
-    Scheduler.committed(Scheduler.changes(100), Now);
-    cr_assert_eq(Scheduler.runPass(Now, Wall).Starts.size(), 1U);
-  }
+  void start() { cr_assert_eq(starts().size(), 1U); }
 
   /// Whether the loss of a worker under the task is logged as part of an
   /// outage.
@@ -276,7 +243,7 @@
 /// The connection may break before the answer to the start order is read.
 Test(pool_deadly_tasks, silence_after_an_unanswered_start_is_no_outage) {
   OneTask Pool;
-  Pool.list("w1");
+  Pool.list(WorkerId("w1"));
   Pool.answer("w1", OrderResult::Done);
   Pool.start();
   Pool.answer("w1", OrderResult::NoAnswer, 10ms);
@@ -286,14 +253,13 @@
 
 Test(pool_deadly_tasks, worker_lost_before_a_takeover_is_no_outage) {
   OneTask Pool;
-  Pool.list("w1");
-  Pool.list("w2");
-  pool::JobSpec Inherited = OneTask::job(2);
+  Pool.list(WorkerId("w1"));
+  Pool.list(WorkerId("w2"));
+  pool::JobSpec Inherited = Pool.job(2, OneTask::PerTask);
   auto Progress =
       JobProgress::decode(Inherited, R"({"groups":[[0,1,1,0,0,"","w1"]]})");
   cr_assert(Progress.has_value());
-  Pool.Scheduler.restore(Inherited, JobStatus::Running, *Progress,
-                         OneTask::Now);
+  Pool.Scheduler.restore(Inherited, JobStatus::Running, *Progress, Pool.Now);
   Pool.answer("w2", OrderResult::Done);
   Pool.start();
   Pool.answer("w1", OrderResult::OtherIncarnation, 5ms);
--- a/test/error/pool_shrunk_workers.cpp
+++ b/test/error/pool_shrunk_workers.cpp
@@ -2,8 +2,8 @@
 /// Workers lose part of their capacity while they run. Guards against starts
 /// that were planned, or sent without an answer, when there was still room, and
 /// against stops of work that the worker no longer has room for.
-#include "pool/PoolScheduler.h"
 #include "support/PoolSimulation.h"
+#include "support/ScriptedPool.h"
 
 #include <criterion/criterion.h>
 
@@ -14,8 +14,7 @@
 
 namespace {
 
-constexpr WallTime Wall{100s};
-constexpr Resources Whole{32000, 131072, 8};
+constexpr Resources Whole = ScriptedPool::WholeWorker;
 const WorkerId W1("w1");
 const WorkerId W2("w2");
 
@@ -27,78 +26,14 @@
   return Limits;
 }
 
-/// A scheduler with one worker, whose answers the test gives.
-struct ShrinkingPool {
-  VirtualClock Clock;
-  RecordingLog Log{Clock};
-  PoolScheduler Scheduler{limits(), Log};
-  PoolConfiguration Configuration;
-  TimePoint Now{100s};
-
-  ShrinkingPool() {
-    QueueSpec Urgent;
-    Urgent.Id = QueueId("urgent");
-    Urgent.Terms.Service = ServiceId("service");
-    QueueSpec Batch = Urgent;
-    Batch.Id = QueueId("batch");
-    Batch.Terms.Priority = 2;
-    Configuration.Queues = {Urgent, Batch};
+/// A pool with one worker.
+struct ShrinkingPool : ScriptedPool {
+  ShrinkingPool() : ScriptedPool(limits()) {
     Configuration.Guarantees[WorkspaceId("a")] = 8;
     Scheduler.configure(Configuration);
     list(W1, Whole);
     report(W1);
   }
-
-  void list(const WorkerId &Id, const Resources &Capacity) {
-    PoolWorker Worker;
-    Worker.Id = Id;
-    Worker.Address = Id.str() + ":1";
-    Worker.Service = ServiceId("service");
-    Worker.Capacity = Capacity;
-    Scheduler.updateWorker(Worker, Now);
-  }
-
-  void report(const WorkerId &Id, const std::vector<StartOrder> &Running = {}) {
-    WorkerReport Report;
-    Report.Result = OrderResult::Done;
-    for (const StartOrder &Order : Running)
-      Report.Running.push_back({Order.Task, Order.Run, "", 10, 0});
-    Scheduler.workerReported(Id, Report, Now, Now);
-  }
-
-  void submit(std::uint64_t Id, const Resources &PerTask,
-              const char *Queue = "batch") {
-    JobSpec Spec;
-    Spec.Id = JobId(Id);
-    Spec.Queue = QueueId(Queue);
-    Spec.Workspace = WorkspaceId("a");
-    Spec.Terms = Configuration.findQueue(Spec.Queue)->Terms;
-    Spec.AcceptedAt = Wall;
-    StepSpec Step;
-    Step.PerTask = PerTask;
-    Step.Estimate = 10s;
-    Spec.Steps = {Step};
-    Scheduler.submit(Spec, JobStatus::Queued);
-  }
-
-  PoolOrders pass() { return Scheduler.runPass(Now, Wall); }
-  void commit() {
-    constexpr std::size_t Entries = 100;
-    Scheduler.committed(Scheduler.changes(Entries), Now);
-  }
-  /// Places what fits, and returns its start orders.
-  std::vector<StartOrder> starts() {
-    pass();
-    commit();
-    return pass().Starts;
-  }
-  /// Starts what fits.
-  std::vector<StartOrder> startAll() {
-    std::vector<StartOrder> Orders = starts();
-    for (const StartOrder &Order : Orders)
-      Scheduler.startAnswered(Order, OrderResult::Done, Now);
-    return Orders;
-  }
 };
 
 } // namespace
