Cut workers and remove faults in the simulation, not in its runs

runPoolCancels() had copies of how runPoolFaults() removes the faults of the daemons and writes their logs, and set and cleared the one-way cut of a worker by itself, beside setReachable(). PoolSimulation now does all three.

--- a/test/support/FakeWorkerPool.cpp
+++ b/test/support/FakeWorkerPool.cpp
@@ -430,13 +430,16 @@
 void WorkerSession::sendOrder(const WorkerId &Id,
                               const std::function<OrderResult()> &Work,
                               const std::function<void(OrderResult)> &Done) {
-  if (Faults.Unresponsive.contains(Id)) {
+  auto TimeOut = [this, &Done] {
     Timers.schedule(AnswerTimeout, [Done] { Done(OrderResult::NoAnswer); });
+  };
+  if (Faults.Unresponsive.contains(Id)) {
+    TimeOut();
     return;
   }
   if (Faults.Unheard.contains(Id)) {
     Clock.scheduleAfter(Faults.Latency, [Work] { Work(); });
-    Timers.schedule(AnswerTimeout, [Done] { Done(OrderResult::NoAnswer); });
+    TimeOut();
     return;
   }
   if (Generator.withProbability(Faults.LateOrderRate)) {
@@ -448,7 +451,7 @@
           if (Pool.incarnation(Id) == StartedIncarnation)
             Work();
         });
-    Timers.schedule(AnswerTimeout, [Done] { Done(OrderResult::NoAnswer); });
+    TimeOut();
     return;
   }
   auto Answer = std::make_shared<OrderResult>(OrderResult::NoAnswer);
--- a/test/support/PoolCancelRun.cpp
+++ b/test/support/PoolCancelRun.cpp
@@ -9,7 +9,6 @@
 #include "pool/JobName.h"
 
 #include <algorithm>
-#include <ostream>
 #include <utility>
 
 namespace banyanworks::testing {
@@ -83,11 +82,7 @@
     return Violations;
   }
 
-  void writeLogs(std::ostream &Out) {
-    for (std::size_t Number = 0; Number < Daemons; ++Number)
-      for (const std::string &Line : Simulation.daemon(Number).Log.lines())
-        Out << Line << " daemon=" << Number << '\n';
-  }
+  void writeLogs(std::ostream &Out) const { Simulation.writeLogs(Out); }
 
 private:
   std::optional<std::size_t> anyDaemon() {
@@ -177,23 +172,16 @@
     bool Restarts = Generator.withProbability(0.3);
     for (std::uint32_t Count = 1 + Generator.below(5); Count > 0; --Count) {
       WorkerId Target = anyWorker();
-      for (std::size_t Number = 0; Number < Daemons; ++Number) {
-        WorkerFaults &Faults = Simulation.daemon(Number).Workers.Faults;
-        (OneWay ? Faults.Unheard : Faults.Unresponsive).insert(Target);
-      }
-      if (Restarts) {
+      if (OneWay)
+        Simulation.loseAnswers(Target);
+      else
+        Simulation.setReachable(Target, false);
+      if (Restarts)
         later(scaled(Time, 0.4), [this, Target] { restartWorker(Target); });
-      }
-      later(Time, [this, Target] { reach(Target); });
+      later(Time, [this, Target] { Simulation.setReachable(Target, true); });
     }
   }
 
-  void reach(const WorkerId &Id) {
-    Simulation.setReachable(Id, true);
-    for (std::size_t Number = 0; Number < Daemons; ++Number)
-      Simulation.daemon(Number).Workers.Faults.Unheard.erase(Id);
-  }
-
   void restartWorker(const WorkerId &Id) {
     if (!Simulation.Pool.up(Id))
       return;
@@ -259,15 +247,9 @@
   void removeFaults() {
     ++Episode;
     CalmSince = Simulation.Clock.now();
-    for (std::size_t Number = 0; Number < Daemons; ++Number) {
-      PoolDaemon &Daemon = Simulation.daemon(Number);
-      Daemon.Store.Faults = StoreFaults();
-      Daemon.Workers.Faults = WorkerFaults();
-      Daemon.Timers.pauseUntil(TimePoint::min());
-      if (!Daemon.Owner || Retired.contains(Number))
-        Simulation.restart(Number);
-    }
-    Retired.clear();
+    Simulation.removeDaemonFaults();
+    for (std::size_t Number : std::exchange(Retired, {}))
+      Simulation.restart(Number);
     for (const WorkerId &Id : Simulation.Pool.ids())
       Simulation.listWorker(Id);
   }
--- a/test/support/PoolFaultRun.cpp
+++ b/test/support/PoolFaultRun.cpp
@@ -10,7 +10,6 @@
 
 #include <algorithm>
 #include <map>
-#include <ostream>
 #include <utility>
 
 namespace banyanworks::testing {
@@ -66,11 +65,7 @@
     return findViolations();
   }
 
-  void writeLogs(std::ostream &Out) {
-    for (std::size_t Number = 0; Number < Daemons; ++Number)
-      for (const std::string &Line : Simulation.daemon(Number).Log.lines())
-        Out << Line << " daemon=" << Number << '\n';
-  }
+  void writeLogs(std::ostream &Out) const { Simulation.writeLogs(Out); }
 
 private:
   static std::uint32_t kindCount(PoolFaults Kinds) {
@@ -248,15 +243,7 @@
     // The widest gang fits, so that every accepted job can end.
     if (ChangesCaps)
       Caps.setCaps({{WorkspaceId("b"), {0, 0, 64}}});
-    for (std::size_t Number = 0; Number < Daemons; ++Number) {
-      PoolDaemon &Daemon = Simulation.daemon(Number);
-      Daemon.Store.Faults = StoreFaults();
-      Daemon.Workers.Faults = WorkerFaults();
-      Daemon.Timers.pauseUntil(TimePoint::min());
-      Daemon.Timers.setWorkDuration(Duration::zero());
-      if (!Daemon.Owner)
-        Simulation.restart(Number);
-    }
+    Simulation.removeDaemonFaults();
     for (const WorkerId &Id : Simulation.Pool.ids()) {
       if (!Simulation.Pool.up(Id))
         Simulation.Pool.restart(Id);
--- a/test/support/PoolSimulation.cpp
+++ b/test/support/PoolSimulation.cpp
@@ -6,6 +6,7 @@
 #include "pool/StoreKeys.h"
 #include "pool/WorkspaceCap.h"
 
+#include <ostream>
 #include <utility>
 
 namespace banyanworks::testing {
@@ -191,14 +192,38 @@
 
 void PoolSimulation::setReachable(const WorkerId &Id, bool Reachable) {
   for (auto &Daemon : Daemons) {
-    std::set<WorkerId> &Unresponsive = Daemon->Workers.Faults.Unresponsive;
+    WorkerFaults &Faults = Daemon->Workers.Faults;
+    Faults.Unheard.erase(Id);
     if (Reachable)
-      Unresponsive.erase(Id);
+      Faults.Unresponsive.erase(Id);
     else
-      Unresponsive.insert(Id);
+      Faults.Unresponsive.insert(Id);
   }
 }
 
+void PoolSimulation::loseAnswers(const WorkerId &Id) {
+  for (auto &Daemon : Daemons)
+    Daemon->Workers.Faults.Unheard.insert(Id);
+}
+
+void PoolSimulation::removeDaemonFaults() {
+  for (std::size_t Number = 0; Number < Daemons.size(); ++Number) {
+    PoolDaemon &Daemon = *Daemons[Number];
+    Daemon.Store.Faults = StoreFaults();
+    Daemon.Workers.Faults = WorkerFaults();
+    Daemon.Timers.pauseUntil(TimePoint::min());
+    Daemon.Timers.setWorkDuration(Duration::zero());
+    if (!Daemon.Owner)
+      restart(Number);
+  }
+}
+
+void PoolSimulation::writeLogs(std::ostream &Out) const {
+  for (std::size_t Number = 0; Number < Daemons.size(); ++Number)
+    for (const std::string &Line : Daemons[Number]->Log.lines())
+      Out << Line << " daemon=" << Number << '\n';
+}
+
 void PoolSimulation::unlistWorker(const WorkerId &Id) {
   Directory.erase(Id);
   announce(Id);
--- a/test/support/PoolSimulation.h
+++ b/test/support/PoolSimulation.h
@@ -14,6 +14,7 @@
 #include "support/TransactionStore.h"
 #include "support/VirtualTimers.h"
 
+#include <iosfwd>
 #include <map>
 #include <memory>
 #include <optional>
@@ -86,8 +87,15 @@
   void resizeWorker(const WorkerId &Id, const Resources &Capacity);
   /// Adds a worker to the directory, or lists it as draining.
   void listWorker(const WorkerId &Id, bool Draining = false);
-  /// Sets whether the daemons reach a worker.
+  /// Sets whether the daemons reach a worker and hear its answers.
   void setReachable(const WorkerId &Id, bool Reachable);
+  /// Cuts a worker off in one direction, until it is set reachable: it executes
+  /// the daemons' calls, and its answers are lost.
+  void loseAnswers(const WorkerId &Id);
+  /// Removes all faults of the daemons and restarts those that were killed.
+  void removeDaemonFaults();
+  /// Writes the log lines of all daemons.
+  void writeLogs(std::ostream &Out) const;
 
   /// Gives the configuration to all running daemons.
   void applyConfiguration();
