Keep failed plans of reclaims until they could succeed

Cause: PoolScheduler::schedule() forgot at each pass for which requests no resources could be reclaimed, and planned them again over all workers and their runs, up to four a pass.

Change: ReclaimMemory keeps the failures. A plan counts on what is free, what is being stopped and what preemptible runs hold; other room, or within a guarantee other demand, is what can let it succeed later. The comparison of requests moves to FailedRequest, which placements use as well.

Evidence: with failures forgotten at each pass, as before, six of the seven tests of pool_reclaim_memory fail, among them ten passes without a change plan no reclaim twice. All seven pass with the change, as do the other suites pool_* of test_correctness.

--- a/src/pool/PoolScheduler.cpp
+++ b/src/pool/PoolScheduler.cpp
@@ -26,7 +26,7 @@
     : Limits(Limits), Log(Log), Usage(Limits.CapOverage),
       Cost({Limits.StopTime + RoundTrip, Limits.CheckpointInterval,
             Limits.RestoreTime}),
-      Reserve(Limits.Reserve) {}
+      Reserve(Limits.Reserve), Reclaims(Limits.Reclaims) {}
 
 bool canRun(const PoolWorker &Worker, const ServiceId &Service,
             const StepSpec &Step) {
@@ -41,6 +41,7 @@
   Configuration = NewConfiguration;
   Configured = true;
   Usage.setCaps(Configuration.Caps);
+  Reclaims.roomFreed();
   for (auto &[Id, Updated] : Jobs)
     Updated.Terms = &currentTerms(Updated.Spec);
 }
@@ -118,6 +119,7 @@
   if (Jobs.contains(Spec.Id) || isFinal(Published))
     return;
   addJob(Spec, Published, JobProgress(Spec));
+  Reclaims.demandChanged();
   Log.write(LogLevel::Routine, "job.queued",
             {{"job", jobName(Spec.Id)},
              {"queue", Spec.Queue.str()},
@@ -188,6 +190,7 @@
   if (isFinal(Finished.Status))
     return;
   Finished.Status = Status;
+  Reclaims.demandChanged();
   markChanged(Finished);
   Log.write(Status == JobStatus::Completed ? LogLevel::Routine
                                            : LogLevel::Notice,
@@ -248,6 +251,9 @@
       removeRun(Worker, Run);
       continue;
     }
+    // A reclaim counts on what is being stopped.
+    if (!isAlwaysPreemptible(Owner, Group))
+      Reclaims.roomFreed();
     Run->second.StopRequested = true;
     Run->second.NextOrderAt = TimePoint();
     WorkersWithPendingOrders.insert(Worker.Info.Id);
@@ -287,6 +293,8 @@
     Worker.SuspectRun.reset();
   Worker.Runs.erase(Run);
   GroupRef Ref = findGroup(Task);
+  if (!Ref.Group || !isAlwaysPreemptible(*Ref.Owner, *Ref.Group))
+    Reclaims.roomFreed();
   if (!Ref.Group)
     return;
   --Ref.Group->LiveRuns;
--- a/src/pool/PoolScheduler.h
+++ b/src/pool/PoolScheduler.h
@@ -6,6 +6,7 @@
 
 #include "pool/AdviceCache.h"
 #include "pool/BestEffortThrottle.h"
+#include "pool/FailedRequest.h"
 #include "pool/GangReservation.h"
 #include "pool/GuaranteeUse.h"
 #include "pool/JobProgress.h"
@@ -15,6 +16,7 @@
 #include "pool/PoolSpan.h"
 #include "pool/PoolWorker.h"
 #include "pool/ReclaimHolds.h"
+#include "pool/ReclaimMemory.h"
 #include "pool/ReclaimPlan.h"
 #include "pool/ReserveAccess.h"
 #include "pool/RunTable.h"
@@ -86,10 +88,7 @@
   double CapOverage = 0.0;
   /// Whether the speeds of workers are learned and used for placement.
   bool LearnSpeeds = true;
-  /// Reclaims planned in one pass. A plan looks at all workers and their runs;
-  /// in a flood of urgent jobs, a plan for each made a pass take 0.4 s, in
-  /// which gangs waited for their last members.
-  std::size_t MaxReclaimPlans = 4;
+  ReclaimMemoryLimits Reclaims;
   ReserveLimits Reserve;
 };
 
@@ -213,6 +212,8 @@
   std::size_t suspectedTasks() const;
   /// Number of tasks that this owner has given up because they crash workers.
   std::size_t tasksGivenUp() const { return TasksGivenUp; }
+  /// Number of reclaims planned so far.
+  std::uint64_t reclaimPlans() const { return Reclaims.plans(); }
   /// Number of listed workers by speed class.
   std::array<std::size_t, SpeedClasses> workersByClass() const;
 
@@ -317,24 +318,6 @@
       return {Owner->Spec.Id, FirstWaiting->Occurrence, FirstWaiting->Step};
     }
   };
-  /// A request that could not be placed. Free resources only shrink during a
-  /// pass, so a request that needs no less cannot be placed either.
-  struct FailedRequest {
-    PlacementRequest Request;
-    ServiceId Service;
-    std::string Label;
-    Duration Estimate{};
-    /// The request failed even with the resources that its guarantee allows it
-    /// to reclaim.
-    bool Guaranteed = false;
-    /// Risky workers were excluded.
-    bool AvoidedRisk = false;
-    /// The workers of the urgent reserve were excluded.
-    bool AvoidedReserve = false;
-    /// The hold of the job that could use its own resources and those that are
-    /// interchangeable with them.
-    std::optional<ReclaimHolds::Hold> Own;
-  };
   /// Why the owner takes runs for lost with their worker.
   enum class LossCause : std::uint8_t {
     /// Another incarnation answers at the worker's address.
@@ -498,8 +481,8 @@
   /// Prepares the request that the adviser has to answer before the step can
   /// be placed.
   void prepareAdviceRequest(const StepCandidate &Candidate, TimePoint Now);
-  bool knownToFail(const std::vector<FailedRequest> &FailedRequests,
-                   const PlacementRequest &Request,
+  /// Whether the request cannot be placed in this pass.
+  bool knownToFail(const PlacementRequest &Request,
                    const StepCandidate &Candidate, bool MayUseReserve) const;
   FailedRequest failedRequest(const PlacementRequest &Request,
                               const StepCandidate &Candidate,
@@ -545,6 +528,8 @@
   /// Keeps the resources of \p Tasks tasks on a worker for the candidate.
   void holdForReclaim(const StepCandidate &Candidate, WorkerState &Worker,
                       std::uint32_t Tasks, TimePoint Now);
+  /// Whether the runs of a group may be preempted for any urgent step.
+  static bool isAlwaysPreemptible(const Job &Owner, const TaskGroup &Group);
   /// Whether a run may be preempted for the urgent candidate.
   bool mayBePreempted(const Job &Owner, const PlacedRun &Run,
                       const StepCandidate &Candidate) const;
@@ -671,12 +656,10 @@
   /// The reserved gang needs workers of the urgent reserve.
   bool ReservationUsesReserve = false;
   TimePoint ReservationPlannedAt;
-  /// Requests that could not be placed in this pass, and those for which no
-  /// resources could be reclaimed.
+  /// Requests that could not be placed in this pass. Free resources only shrink
+  /// during a pass, so a request that needs no less cannot be placed either.
   std::vector<FailedRequest> FailedPlacements;
-  std::vector<FailedRequest> FailedReclaims;
-  /// Number of reclaims planned in this pass.
-  std::size_t ReclaimPlans = 0;
+  ReclaimMemory Reclaims;
   bool Fenced = false;
   bool DirectoryCurrent = true;
 };
--- a/src/pool/PoolSchedulerPass.cpp
+++ b/src/pool/PoolSchedulerPass.cpp
@@ -413,39 +413,18 @@
   Reservation = GangReservation::plan(Request, std::move(BusyWorkers));
 }
 
-bool PoolScheduler::knownToFail(
-    const std::vector<FailedRequest> &FailedRequests,
-    const PlacementRequest &Request, const StepCandidate &Candidate,
-    bool MayUseReserve) const {
-  const ReclaimHolds::Hold *Own = ownHold(Candidate);
-  auto MinTasks = [](const PlacementRequest &Requested) {
-    return Requested.AllOrNothing ? Requested.Count : 1;
-  };
+bool PoolScheduler::knownToFail(const PlacementRequest &Request,
+                                const StepCandidate &Candidate,
+                                bool MayUseReserve) const {
+  FailedRequest Asked = failedRequest(Request, Candidate, MayUseReserve);
   return std::any_of(
-      FailedRequests.begin(), FailedRequests.end(),
-      [&](const FailedRequest &Earlier) {
-        const PlacementRequest &Failed = Earlier.Request;
-        return Failed.PerTask.fitsIn(Request.PerTask) &&
-               MinTasks(Failed) <= MinTasks(Request) &&
-               Failed.MaxPerWorker == 0 &&
-               (Failed.MaySpanRacks || !Failed.SameRack ||
-                (Request.SameRack && !Request.MaySpanRacks)) &&
-               Earlier.Service == Candidate.Terms->Service &&
-               (Earlier.Guaranteed || !Candidate.Guaranteed) &&
-               (!Earlier.AvoidedRisk || Candidate.avoidsRisk()) &&
-               (!Earlier.AvoidedReserve || !MayUseReserve) &&
-               (!Own ||
-                (Earlier.Own && Own->isInterchangeable(*Earlier.Own))) &&
-               (Earlier.Label.empty() ||
-                Earlier.Label == Candidate.Step->RequiredLabel) &&
-               Earlier.Estimate <= Candidate.Step->Estimate;
-      });
+      FailedPlacements.begin(), FailedPlacements.end(),
+      [&](const FailedRequest &Earlier) { return Earlier.covers(Asked); });
 }
 
-PoolScheduler::FailedRequest
-PoolScheduler::failedRequest(const PlacementRequest &Request,
-                             const StepCandidate &Candidate,
-                             bool MayUseReserve) const {
+FailedRequest PoolScheduler::failedRequest(const PlacementRequest &Request,
+                                           const StepCandidate &Candidate,
+                                           bool MayUseReserve) const {
   const ReclaimHolds::Hold *Own = ownHold(Candidate);
   return {Request,
           Candidate.Terms->Service,
@@ -477,7 +456,7 @@
   Request.MaySpanRacks = MaySpanRacks;
   // The adviser's permission differs between steps with equal requests.
   if (!Candidate.Terms->Advice &&
-      knownToFail(FailedPlacements, Request, Candidate, MayUseReserve))
+      knownToFail(Request, Candidate, MayUseReserve))
     return {};
   listWaitingGroups(Candidate);
   Request.Count = startableTasks(Candidate, requestFor(Candidate).Count);
@@ -499,8 +478,7 @@
                                          TimePoint Now) const {
   PlacementRequest Request = requestFor(Candidate);
   // The look at the workers below is spared where it cannot lead to a start.
-  if (!Candidate.Terms->Advice &&
-      knownToFail(FailedPlacements, Request, Candidate, true))
+  if (!Candidate.Terms->Advice && knownToFail(Request, Candidate, true))
     return ReserveGrant::None;
   ReserveDemand Demand;
   Demand.Service = Candidate.Terms->Service;
@@ -594,7 +572,8 @@
   ReclaimingJobs.clear();
   std::erase_if(ReclaimingWorkers, [&](const WorkerId &Id) {
     ReclaimHolds &Holds = Workers.at(Id).Holds;
-    Holds.dropExpired(Now);
+    if (Holds.dropExpired(Now))
+      Reclaims.roomFreed();
     for (const ReclaimHolds::Hold &Kept : Holds.holds())
       ReclaimingJobs.try_emplace(Kept.Job, Kept);
     return Holds.empty();
@@ -603,8 +582,7 @@
     return !ReclaimingJobs.contains(Entry.first);
   });
   FailedPlacements.clear();
-  FailedReclaims.clear();
-  ReclaimPlans = 0;
+  Reclaims.startPass(Now);
   PendingAdvice.reset();
   StopAssessments.clear();
   if (AvailableWorkers.empty())
@@ -663,6 +641,8 @@
 
 PoolOrders PoolScheduler::runPass(TimePoint Now, WallTime Wall) {
   abortIncompleteGangs(Now);
+  if (HealthCheckDue)
+    Reclaims.roomFreed();
   if (std::exchange(HealthCheckDue, false) ||
       Now - HealthCheckedAt >= Limits.HealthCheckInterval) {
     HealthCheckedAt = Now;
--- a/src/pool/PoolSchedulerReclaim.cpp
+++ b/src/pool/PoolSchedulerReclaim.cpp
@@ -90,6 +90,12 @@
   return Result;
 }
 
+bool PoolScheduler::isAlwaysPreemptible(const Job &Owner,
+                                        const TaskGroup &Group) {
+  return Owner.Terms->Priority != 0 &&
+         Owner.Spec.Steps[Group.Step].MaxUnavailable == 0;
+}
+
 bool PoolScheduler::mayBePreempted(const Job &Owner, const PlacedRun &Run,
                                    const StepCandidate &Candidate) const {
   if (Owner.Terms->Priority != 0)
@@ -173,6 +179,7 @@
       Holds.transfer(Id, Next->second);
   }
   ReclaimingJobs.erase(Own);
+  Reclaims.roomFreed();
 }
 
 void PoolScheduler::holdForReclaim(const StepCandidate &Candidate,
@@ -202,10 +209,11 @@
   Request.Count = reclaimableTasks(Candidate, Request.Count);
   if (Request.Count == 0)
     return false;
+  // The adviser's permission differs between steps with equal requests.
   if (!Candidate.Terms->Advice &&
-      knownToFail(FailedReclaims, Request, Candidate, true))
+      Reclaims.isKnownToFail(failedRequest(Request, Candidate, true)))
     return false;
-  if (ReclaimPlans++ >= Limits.MaxReclaimPlans)
+  if (!Reclaims.beginPlan())
     return false;
   ReclaimOptions Options;
   // Of equally expensive plans, the first workers are taken.
@@ -225,7 +233,7 @@
       planReclaim(Request, Options.Workers, Options.Victims);
   if (!Plan) {
     if (!Candidate.Terms->Advice)
-      FailedReclaims.push_back(failedRequest(Request, Candidate, true));
+      Reclaims.add(failedRequest(Request, Candidate, true), Now);
     return false;
   }
   ReclaimedDemands[Candidate.Owner->Spec.Id] =
--- a/src/pool/ReclaimHolds.cpp
+++ b/src/pool/ReclaimHolds.cpp
@@ -42,8 +42,9 @@
   }
 }
 
-void ReclaimHolds::dropExpired(TimePoint Now) {
-  std::erase_if(Holds, [Now](const Hold &Kept) { return Now >= Kept.Until; });
+bool ReclaimHolds::dropExpired(TimePoint Now) {
+  return std::erase_if(
+             Holds, [Now](const Hold &Kept) { return Now >= Kept.Until; }) > 0;
 }
 
 } // namespace banyanworks::pool
--- a/src/pool/ReclaimHolds.h
+++ b/src/pool/ReclaimHolds.h
@@ -41,7 +41,8 @@
   void release(JobId Job);
   /// Leaves what is kept for \p Job to the job of \p Next, for as long.
   void transfer(JobId Job, const Hold &Next);
-  void dropExpired(TimePoint Now);
+  /// Returns whether any had expired.
+  bool dropExpired(TimePoint Now);
 
 private:
   std::vector<Hold> Holds;
