Ask a worker that has restarted under its id for late orders

A worker refuses a late duplicate of an order, and an order of an earlier owner, only as long as it has not restarted: then it knows neither the runs that ended on it nor the token. The owner asked a worker without runs for nothing, so that a run of a cancelled job that such an order started went on until its lease ended: 6 s, where 3.9 s are allowed.

RestartWatch learns of a restart from a report or the directory, and has the worker asked once a second until a report that was requested 12 s later, the longest time for which an order is on the way. The first question sets the token; a run that is found is a stray and stopped. Workers that have not restarted are asked as before. A stray may still run beside another run of its task until it is stopped.

The fake workers forgot orders in transit at a restart. With LateOrdersOutliveRestarts they carry them out, with a lease of their own clock. What no owner can prevent is then not counted: that such a run starts beside another one of its task, or takes room.

--- a/src/pool/PoolOwner.cpp
+++ b/src/pool/PoolOwner.cpp
@@ -315,10 +315,13 @@
 }
 
 void PoolOwner::workerChanged(const WorkerId &Id, const PoolWorker *Entry) {
-  if (Entry)
+  if (Entry) {
     Directory[Id] = *Entry;
-  else
+    Restarts.seen(Id, Entry->WorkerIncarnation, Clock.now());
+  } else {
     Directory.erase(Id);
+    Restarts.unlisted(Id, Clock.now());
+  }
   if (!Scheduler)
     return;
   if (Entry)
--- a/src/pool/PoolOwner.h
+++ b/src/pool/PoolOwner.h
@@ -10,6 +10,7 @@
 #include "pool/LeaseHorizon.h"
 #include "pool/PoolConfiguration.h"
 #include "pool/PoolScheduler.h"
+#include "pool/RestartWatch.h"
 #include "state/Lease.h"
 
 #include <cstdint>
@@ -251,6 +252,7 @@
   std::set<DomainId> DomainsOutOfService;
   std::map<WorkerId, PoolWorker> Directory;
   std::unordered_map<WorkerId, Renewal> Renewals;
+  RestartWatch Restarts;
   bool PassScheduled = false;
   TimePoint LastPassAt;
   TimePoint LastSweepAt;
--- a/src/pool/PoolOwnerPass.cpp
+++ b/src/pool/PoolOwnerPass.cpp
@@ -325,7 +325,8 @@
     return;
   bool MustAcknowledge = Tracked.AcknowledgedTo < State.Acknowledged;
   bool Needed = MustAcknowledge || State.HoldsRuns || !State.HasReported ||
-                State.HasUnrecordedEnds || State.Unresponsive;
+                State.HasUnrecordedEnds || State.Unresponsive ||
+                Restarts.isDue(State.Worker->Id, Now);
   if (Needed && (MustAcknowledge || Now >= Tracked.NotBefore))
     renewWorker(State, Tracked);
 }
@@ -347,6 +348,7 @@
   Tracked.InFlight = true;
   std::uint64_t CallTerm = Term;
   TimePoint SentAt = Clock.now();
+  Restarts.asked(State.Worker->Id, SentAt);
   Workers.renew(*State.Worker, Order,
                 [this, CallTerm, Id = State.Worker->Id, Order,
                  SentAt](const WorkerReport &Report) {
@@ -363,6 +365,7 @@
   bool Answered = Report.Result == OrderResult::Done;
   if (Answered) {
     Tracked.AcknowledgedTo = Order.Acknowledged;
+    Restarts.reported(Id, Report.WorkerIncarnation, SentAt, Now);
     Bounds.release(Id);
     if (Order.ExtendLease)
       Bounds.leaseExtended(Id);
--- /dev/null
+++ b/test/error/pool_restarted_workers.cpp
@@ -0,0 +1,104 @@
+/// \file
+/// A worker restarts under its id while it is idle, and an order to its earlier
+/// incarnation arrives. Guards against a run that nothing asks for, and that
+/// goes on until its lease ends.
+#include "support/PoolSimulation.h"
+
+#include <criterion/criterion.h>
+
+using namespace banyanworks;
+using namespace banyanworks::testing;
+using namespace banyanworks::pool;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr pool::TaskKey Task{JobId(1), 0, 0, 0};
+/// Time within which a worker is asked, and a stop ends a run; as on the users'
+/// platform.
+constexpr Duration AllowedTime = 3s + 900ms;
+/// Longest time for which an order is on the way.
+constexpr Duration LongestDelay = 12s;
+
+/// A pool with one cancelled job, of whose start orders the first one is still
+/// on the way; its worker has become idle.
+struct DelayedStart {
+  PoolSimulation Simulation{7, 2, 1};
+  WorkerId Holder;
+  TimePoint ArrivesAt;
+
+  explicit DelayedStart(Duration Delay) {
+    Simulation.runFor(2s);
+    WorkerFaults &Faults = daemon().Workers.Faults;
+    Faults.LateOrderRate = 1.0;
+    Faults.LateOrderDelay = Delay;
+    Faults.LateOrdersOutliveRestarts = true;
+    Simulation.submit(*Simulation.owner(), Simulation.job(1, 1, 4, false, 60s));
+    ArrivesAt = Simulation.Clock.now() + Delay;
+    Simulation.runFor(300ms);
+    Faults = WorkerFaults();
+    Simulation.runFor(1500ms);
+    auto Found = Simulation.Pool.holderOf(Task);
+    cr_assert(Found.has_value());
+    Holder = *Found;
+    Simulation.cancel(*Simulation.owner(), Task.Job);
+    Simulation.runFor(1s);
+    cr_assert_eq(Simulation.Pool.running(), 0U);
+    cr_assert_eq(Simulation.Pool.startsOf(Task), 1U);
+  }
+
+  PoolDaemon &daemon() { return Simulation.daemon(*Simulation.owner()); }
+
+  /// Runs until the delayed order must have arrived.
+  void awaitOrder() {
+    Simulation.runFor(ArrivesAt + 300ms - Simulation.Clock.now());
+  }
+
+  void expectStopped() {
+    cr_assert_eq(Simulation.Pool.startsOf(Task), 2U);
+    Simulation.runFor(AllowedTime);
+    cr_assert_eq(Simulation.Pool.running(), 0U);
+    cr_assert(Simulation.Pool.violations().empty());
+  }
+};
+
+} // namespace
+
+Test(pool_restarted_workers, idle_worker_carries_out_an_order_after_a_restart) {
+  DelayedStart Run(LongestDelay);
+  Run.Simulation.restartWorker(Run.Holder);
+  Run.awaitOrder();
+  Run.expectStopped();
+}
+
+// The directory does not show the restart yet.
+Test(pool_restarted_workers, order_arrives_right_after_a_restart) {
+  DelayedStart Run(4s);
+  Run.Simulation.runFor(Run.ArrivesAt - Run.Simulation.Clock.now());
+  Run.Simulation.restartWorker(Run.Holder);
+  Run.awaitOrder();
+  Run.expectStopped();
+}
+
+// The restarted worker has seen no token of the newer owner.
+Test(pool_restarted_workers, idle_worker_carries_out_an_order_of_an_old_owner) {
+  DelayedStart Run(LongestDelay);
+  Run.Simulation.kill(*Run.Simulation.owner());
+  Run.Simulation.runFor(4s);
+  cr_assert(Run.Simulation.owner().has_value());
+  Run.Simulation.restartWorker(Run.Holder);
+  Run.awaitOrder();
+  cr_assert_eq(Run.Simulation.Pool.running(), 0U);
+  cr_assert_eq(Run.Simulation.Pool.startsOf(Task), 1U);
+}
+
+// The worker was missing in the directory in between.
+Test(pool_restarted_workers, worker_is_listed_again_after_its_restart) {
+  DelayedStart Run(LongestDelay);
+  Run.Simulation.unlistWorker(Run.Holder);
+  Run.Simulation.restartWorker(Run.Holder);
+  Run.Simulation.runFor(2s);
+  Run.Simulation.listWorker(Run.Holder);
+  Run.awaitOrder();
+  Run.expectStopped();
+}
--- a/test/support/FakeWorkerPool.h
+++ b/test/support/FakeWorkerPool.h
@@ -98,6 +98,13 @@
 
   pool::OrderResult start(const pool::StartOrder &Order, Epoch Token,
                           TimePoint LeaseUntil, TimePoint SentAt);
+  /// Carries out a start order that was sent to the incarnation \p SentTo. The
+  /// clock of a later incarnation starts anew, so that there the lease lasts as
+  /// long as it may. No owner can keep such a run from starting beside another
+  /// one of its task, or from taking room.
+  pool::OrderResult startLate(const pool::StartOrder &Order, Epoch Token,
+                              TimePoint LeaseUntil, TimePoint SentAt,
+                              std::uint64_t SentTo);
   pool::OrderResult stop(const pool::StopOrder &Order, Epoch Token);
   pool::OrderResult pace(const pool::PaceOrder &Order, Epoch Token);
   pool::WorkerReport renew(const WorkerId &Id, Epoch Token,
@@ -167,6 +174,9 @@
     std::map<std::uint64_t, TimePoint> EndedAt;
     /// Time at which a lease last expired.
     TimePoint LeaseExpiredAt;
+    /// Runs whose start orders were sent to an earlier incarnation.
+    std::set<pool::RunKey> OfEarlierOrders;
+    std::set<std::uint64_t> EndsOfEarlierOrders;
     /// When each run started to advance, and the time that it needs.
     std::map<pool::RunKey, std::pair<TimePoint, Duration>> Advancing;
   };
@@ -222,6 +232,9 @@
   /// Fraction of orders that get no answer and are executed late.
   double LateOrderRate = 0.0;
   Duration LateOrderDelay = std::chrono::seconds(3);
+  /// Whether late orders that were sent to a worker are carried out by it after
+  /// it has restarted under its id.
+  bool LateOrdersOutliveRestarts = false;
   Duration Latency = std::chrono::milliseconds(1);
 };
 
@@ -251,8 +264,10 @@
   TimePoint leasesEndBy(const WorkerId &Worker) const override;
 
 private:
+  /// \p LateWork carries the order out if the worker has restarted since.
   void sendOrder(const WorkerId &Id,
                  const std::function<pool::OrderResult()> &Work,
+                 const std::function<pool::OrderResult()> &LateWork,
                  const std::function<void(pool::OrderResult)> &Done);
   /// Waits at the worker until a run ends there or \p Until has passed,
   /// without use of the daemon's timers.
--- a/test/support/PoolSimulation.cpp
+++ b/test/support/PoolSimulation.cpp
@@ -18,6 +18,9 @@
 
 constexpr unsigned WorkersPerRack = 8;
 const QueueId UrgentQueue("urgent");
+/// Time until the directory shows the restart of a worker: an interval between
+/// its heartbeats.
+constexpr Duration DirectoryDelay = 1s;
 
 } // namespace
 
@@ -229,6 +232,18 @@
   announce(Id);
 }
 
+void PoolSimulation::restartWorker(const WorkerId &Id) {
+  Pool.crash(Id);
+  Pool.restart(Id);
+  Clock.scheduleAfter(DirectoryDelay, [this, Id] {
+    auto Listed = Directory.find(Id);
+    if (Listed == Directory.end())
+      return;
+    Listed->second.WorkerIncarnation = Pool.info(Id).WorkerIncarnation;
+    announce(Id);
+  });
+}
+
 void PoolSimulation::labelWorker(const WorkerId &Id, const std::string &Label) {
   Directory.at(Id).Labels.push_back(Label);
   announce(Id);
--- a/test/support/PoolSimulation.h
+++ b/test/support/PoolSimulation.h
@@ -87,6 +87,8 @@
   void resizeWorker(const WorkerId &Id, const Resources &Capacity);
   /// Adds a worker to the directory, or lists it as draining.
   void listWorker(const WorkerId &Id, bool Draining = false);
+  /// Restarts a worker under its id; the directory shows that later.
+  void restartWorker(const WorkerId &Id);
   /// Sets whether the daemons reach a worker and hear its answers.
   void setReachable(const WorkerId &Id, bool Reachable);
   /// Cuts a worker off in one direction, until it is set reachable: it executes
