Act on the records of a job once all that arrived together are applied

Cause: StoreWatch reported the difference of two lists key by key, and JobCache told its listener after each key. After a removal, status/ and cancel/ went before the job record was replaced, so that the removed job was shown as queued in between and the owner took it up. A refusal marker under the same id left the spec of the removed job in the cache. A watch's answer had the same gap where the status is deleted before the job record.

Callers saw, if the watch was listed anew across the removal of a final job and a new submission of its id: a refused job that ran, as the tasks of the cancelled one; an accepted job whose predecessor's tasks ran in its place.

Change: StoreWatch says when a whole list or a whole answer is applied; JobCache collects the changed jobs until then, and tells its listener once of each, in the order of the changes. A refusal marker ends the earlier record of the id, and so does a new record (its place among the jobs that were accepted since the load was published included).

Why it works: the cache holds the whole state of the list or answer before anyone looks at it, and the owner looks at the cache's state, not at the single change.

--- a/src/pool/JobCache.cpp
+++ b/src/pool/JobCache.cpp
@@ -9,7 +9,9 @@
 #include "pool/StoreKeys.h"
 
 #include <algorithm>
+#include <set>
 #include <string_view>
+#include <utility>
 
 namespace banyanworks::pool {
 
@@ -28,7 +30,9 @@
       Watch(Store, Clock, Log, std::string(SharedPrefix), Timing,
             [this](const std::string &Key, const StoreEntry *Entry) {
               entryChanged(Key, Entry);
-            }) {}
+            }) {
+  Watch.setAppliedListener([this] { reportChangedJobs(); });
+}
 
 const JobCache::Entry *JobCache::findJob(JobId Id) const {
   auto Found = Jobs.find(Id);
@@ -105,16 +109,15 @@
               {{"key", Key}, {"reason", "unrecognized store key"}});
     return;
   }
+  ChangedJobs.push_back(*Id);
+  bool Refused = Changed && Changed->Value == RefusalMarker;
+  Entry &Job = Jobs[*Id];
   if (Prefix == JobPrefix) {
-    if (Changed && Changed->Value == RefusalMarker) {
+    if (Refused)
       RefusedJobs[*Id] = Changed->Version;
-      if (JobListener)
-        JobListener(*Id);
-      return;
-    }
-    RefusedJobs.erase(*Id);
+    else
+      RefusedJobs.erase(*Id);
   }
-  Entry &Job = Jobs[*Id];
   if (Prefix == CancelPrefix) {
     Job.Cancelled = Changed != nullptr;
   } else if (Prefix == StatusPrefix) {
@@ -124,10 +127,11 @@
     else
       Log.write(LogLevel::Notice, "record.ignored",
                 {{"key", Key}, {"reason", "unknown job status"}});
-  } else if (!Changed) {
-    AcceptedSinceLoad.erase(Job.Version);
-    Job.Spec.reset();
+  } else if (!Changed || Refused) {
+    endRecord(Job);
   } else if (auto Spec = decodeJobSpec(Changed->Value)) {
+    // An earlier record of the id has been removed.
+    endRecord(Job);
     Job.Spec = std::move(*Spec);
     Job.Version = Changed->Version;
     if (!Load || Load->Covers < Job.Version)
@@ -139,8 +143,18 @@
   bool Empty = !Job.Spec && !Job.Cancelled && Job.Status == JobStatus::Queued;
   if (Empty)
     Jobs.erase(*Id);
-  if (JobListener)
-    JobListener(*Id);
+}
+
+void JobCache::endRecord(Entry &Job) {
+  AcceptedSinceLoad.erase(Job.Version);
+  Job.Spec.reset();
+}
+
+void JobCache::reportChangedJobs() {
+  std::set<JobId> Reported;
+  for (JobId Id : std::exchange(ChangedJobs, {}))
+    if (Reported.insert(Id).second && JobListener)
+      JobListener(Id);
 }
 
 } // namespace banyanworks::pool
--- a/src/pool/JobCache.h
+++ b/src/pool/JobCache.h
@@ -63,7 +63,8 @@
   /// owner.
   const std::optional<StoreEntry> &owner() const { return Owner; }
 
-  /// Sets a callback that is called after each change of a job.
+  /// Sets a callback that is called for each changed job once all changes that
+  /// arrived with it have been applied.
   void setJobListener(std::function<void(JobId)> Listener) {
     JobListener = std::move(Listener);
   }
@@ -76,6 +77,9 @@
   void entryChanged(const std::string &Key, const StoreEntry *Entry);
   void jobChanged(const std::string &Key, const StoreEntry *Entry);
   void loadChanged(const StoreEntry *Entry);
+  /// Forgets the job record itself.
+  void endRecord(Entry &Job);
+  void reportChangedJobs();
 
   Timers &Clock;
   DecisionLog &Log;
@@ -85,6 +89,8 @@
   TimePoint LoadReceivedAt;
   std::map<StoreRevision, JobId> AcceptedSinceLoad;
   std::optional<StoreEntry> Owner;
+  /// Jobs whose listener has not been called, in the order of their changes.
+  std::vector<JobId> ChangedJobs;
   std::function<void(JobId)> JobListener;
   std::function<void()> OwnerListener;
   StoreWatch Watch;
--- a/src/pool/StoreWatch.cpp
+++ b/src/pool/StoreWatch.cpp
@@ -82,6 +82,7 @@
     Reported = std::max({Reported, Revision, Covered});
     confirm(Result.AnsweredAt);
     Complete = true;
+    reportApplied();
     for (auto &Callback : std::exchange(RefreshCallbacks, {}))
       Callback();
     if (CallGeneration == Generation)
@@ -150,6 +151,7 @@
     else
       remove(Event.Key);
   }
+  reportApplied();
   return true;
 }
 
@@ -233,4 +235,9 @@
     OnChange(Key, nullptr);
 }
 
+void StoreWatch::reportApplied() {
+  if (OnApplied)
+    OnApplied();
+}
+
 } // namespace banyanworks::pool
--- a/src/pool/StoreWatch.h
+++ b/src/pool/StoreWatch.h
@@ -42,13 +42,21 @@
 /// the history. Each version of an entry is reported once.
 class StoreWatch {
 public:
-  /// Receives the current entry of a key; null if the key was deleted.
+  /// Receives the current entry of a key; null if the key was deleted. The
+  /// entries of other keys may still be older.
   using Listener =
       std::function<void(const std::string &Key, const StoreEntry *Entry)>;
 
   StoreWatch(AsyncStore &Store, Timers &Clock, DecisionLog &Log,
              std::string Prefix, WatchTiming Timing, Listener OnChange);
 
+  /// Sets a callback that is called each time all entries of a list, or all
+  /// events of an answer, have been reported. The pages of a long list are not
+  /// a snapshot of the store.
+  void setAppliedListener(std::function<void()> Listener) {
+    OnApplied = std::move(Listener);
+  }
+
   void start();
   /// Stops reporting until it is started again; then all changes in between
   /// are reported.
@@ -92,6 +100,7 @@
   void callFailed();
   void apply(const StoreEntry &Entry);
   void remove(const std::string &Key);
+  void reportApplied();
 
   AsyncStore &Store;
   Timers &Clock;
@@ -99,6 +108,7 @@
   std::string Prefix;
   WatchTiming Timing;
   Listener OnChange;
+  std::function<void()> OnApplied;
   std::map<std::string, StoreRevision> KnownVersions;
   StoreRevision Revision;
   TimePoint ConfirmedAt = TimePoint::min();
