Start nothing on a restarted worker before it has reported again

A run was taken for one of the incarnation of the worker's last report. Where an idle worker had restarted since, an unanswered start counted as a proven crash under the task, and a run that was stopping got a needless second stop and a line run.outlasts_stop.

ReportedLife compares the incarnation that the directory lists with the reported one. While the directory shows a restart that no report shows, the worker accepts no work, and a placement that is not ordered yet is given up; the owner asks a restarted worker at once.

A restart that neither a report nor the directory shows when the order leaves still counts as a crash under the task: it cannot be told from a task that crashes its worker before the answer. So what pool_deadly_tasks and pool_crash_record check is unchanged.

Measured: the three new tests of pool_restarted_workers failed on the code before, two with a line task.lost_worker, one with run.outlasts_stop. Now they and pool_reported_life pass, and all 224 tests of test/correctness/pool_* and test/error/pool_*.

--- a/src/pool/PoolScheduler.cpp
+++ b/src/pool/PoolScheduler.cpp
@@ -74,6 +74,7 @@
     forgetSpeed(State);
   State.Info = Worker;
   State.Listed = true;
+  State.Life.listed(Worker.WorkerIncarnation, Now);
   for (const SilentWorker &Lost : Silent.takeReplaced(Worker))
     settleLosses(Lost, true, "worker_replaced", Now);
   HealthCheckDue = true;
--- a/src/pool/PoolScheduler.h
+++ b/src/pool/PoolScheduler.h
@@ -18,6 +18,7 @@
 #include "pool/ReclaimHolds.h"
 #include "pool/ReclaimMemory.h"
 #include "pool/ReclaimPlan.h"
+#include "pool/ReportedLife.h"
 #include "pool/ReserveAccess.h"
 #include "pool/RunTable.h"
 #include "pool/SilentLosses.h"
@@ -257,6 +258,7 @@
     TimePoint SilentSince;
     bool HasReported = false;
     Incarnation WorkerIncarnation;
+    ReportedLife Life;
     /// When the newest report was requested.
     TimePoint ReportRequestedAt;
     Resources Allocated;
--- a/src/pool/PoolSchedulerOrders.cpp
+++ b/src/pool/PoolSchedulerOrders.cpp
@@ -41,6 +41,10 @@
         // rest in the next pass.
         break;
       }
+      if (Run.Phase == RunPhase::Planned && !Worker.Life.isCurrent()) {
+        abort(*Ref.Owner, *Ref.Group, causeName(LossCause::Restarted));
+        break;
+      }
       if (!fitsOnWorker(Worker)) {
         // A worker may hold an unanswered run already; its reports show that.
         if (Run.Phase == RunPhase::Ordered &&
@@ -66,6 +70,7 @@
       if (Run.Phase == RunPhase::Planned) {
         Run.Phase = RunPhase::Ordered;
         Run.OrderedAt = Now;
+        Run.Life = Worker.WorkerIncarnation;
       }
       Run.OrderInFlight = true;
       Orders.Starts.push_back({Id, Task, Current->first.second,
--- a/src/pool/PoolSchedulerPass.cpp
+++ b/src/pool/PoolSchedulerPass.cpp
@@ -33,8 +33,8 @@
 } // namespace
 
 bool PoolScheduler::acceptsWork(const WorkerState &Worker) const {
-  return Worker.Listed && Worker.HasReported && !Worker.Unresponsive &&
-         !Worker.Suspect && !Worker.Info.Draining &&
+  return Worker.Listed && Worker.HasReported && Worker.Life.isCurrent() &&
+         !Worker.Unresponsive && !Worker.Suspect && !Worker.Info.Draining &&
          !DomainsOutOfService.contains(Worker.Info.Domain) &&
          !CordonedWorkers.contains(Worker.Info.Id);
 }
--- a/src/pool/PoolSchedulerReports.cpp
+++ b/src/pool/PoolSchedulerReports.cpp
@@ -110,6 +110,8 @@
   }
   Worker.HasReported = true;
   Worker.WorkerIncarnation = Report.WorkerIncarnation;
+  HealthCheckDue = HealthCheckDue || !Worker.Life.isCurrent();
+  Worker.Life.reported(Report.WorkerIncarnation, SentAt);
   Worker.ReportRequestedAt = std::max(Worker.ReportRequestedAt, SentAt);
   if (Report.EndsTruncated) {
     Log.write(LogLevel::Notice, "worker.ends_truncated",
--- a/test/error/pool_restarted_workers.cpp
+++ b/test/error/pool_restarted_workers.cpp
@@ -1,11 +1,15 @@
 /// \file
 /// A worker restarts under its id while it is idle, and an order to its earlier
 /// incarnation arrives. Guards against a run that nothing asks for, and that
-/// goes on until its lease ends.
+/// goes on until its lease ends. Guards also against a task that is blamed for
+/// a restart before its start.
 #include "support/PoolSimulation.h"
+#include "support/ScriptedPool.h"
 
 #include <criterion/criterion.h>
 
+#include <algorithm>
+
 using namespace banyanworks;
 using namespace banyanworks::testing;
 using namespace banyanworks::pool;
@@ -102,3 +106,97 @@
   Run.awaitOrder();
   Run.expectStopped();
 }
+
+namespace {
+
+/// A pool whose only worker restarts while it is idle, as the directory shows,
+/// and then gets a task.
+struct RestartBeforeStart : ScriptedPool {
+  static constexpr Incarnation FirstLife{1};
+  static constexpr Incarnation SecondLife{2};
+  const WorkerId Holder{"w1"};
+  StartOrder Start;
+
+  RestartBeforeStart() {
+    list(Holder, WholeWorker, FirstLife);
+    report(Holder, {}, FirstLife);
+  }
+
+  void restart() {
+    Now += 1s;
+    list(Holder, WholeWorker, SecondLife);
+  }
+
+  /// Returns the start orders of the next passes.
+  std::vector<StartOrder> nextStarts() {
+    std::vector<StartOrder> Orders = pass().Starts;
+    commit();
+    return Orders.empty() ? pass().Starts : Orders;
+  }
+
+  /// Starts the task, at the latest when the worker has reported.
+  void startTask() {
+    std::vector<StartOrder> Orders = nextStarts();
+    if (Orders.empty()) {
+      report(Holder, {}, SecondLife);
+      Orders = nextStarts();
+    }
+    cr_assert_eq(Orders.size(), 1U);
+    Start = Orders.front();
+  }
+
+  bool hasLogged(const char *Event) const {
+    return std::any_of(Log.lines().begin(), Log.lines().end(),
+                       [Event](const std::string &Line) {
+                         return Line.find(Event) != std::string::npos;
+                       });
+  }
+
+  /// The start order gets no answer, and the worker does not list the run.
+  void loseOrder() {
+    Scheduler.startAnswered(Start, OrderResult::NoAnswer, Now);
+    Now += Limits.OrderRetry;
+    report(Holder, {}, SecondLife);
+  }
+};
+
+} // namespace
+
+Test(pool_restarted_workers, unanswered_task_is_blamed_for_an_earlier_restart) {
+  RestartBeforeStart Pool;
+  Pool.restart();
+  Pool.submit(Task.Job.value(), {1000, 1024, 1});
+  Pool.startTask();
+  Pool.loseOrder();
+  cr_assert_not(Pool.hasLogged("task.lost_worker"));
+  cr_assert_eq(Pool.pass().Starts.size(), 1U);
+}
+
+// The restart is listed between the placement and the order.
+Test(pool_restarted_workers, placed_task_is_blamed_for_an_earlier_restart) {
+  RestartBeforeStart Pool;
+  Pool.submit(Task.Job.value(), {1000, 1024, 1});
+  Pool.pass();
+  Pool.restart();
+  Pool.commit();
+  Pool.startTask();
+  Pool.loseOrder();
+  cr_assert_not(Pool.hasLogged("task.lost_worker"));
+  cr_assert_eq(Pool.pass().Starts.size(), 1U);
+}
+
+Test(pool_restarted_workers, stopping_run_is_stopped_twice_after_a_restart) {
+  RestartBeforeStart Pool;
+  Pool.restart();
+  Pool.submit(Task.Job.value(), {1000, 1024, 1});
+  Pool.startTask();
+  Pool.Scheduler.startAnswered(Pool.Start, OrderResult::Done, Pool.Now);
+  Pool.Scheduler.cancel(Task.Job);
+  std::vector<StopOrder> Stops = Pool.pass().Stops;
+  cr_assert_eq(Stops.size(), 1U);
+  Pool.Scheduler.stopAnswered(Stops.front(), OrderResult::Done, Pool.Now);
+  Pool.Now += Pool.Limits.OrderRetry;
+  Pool.report(Pool.Holder, {Pool.Start}, RestartBeforeStart::SecondLife);
+  cr_assert_not(Pool.hasLogged("run.outlasts_stop"));
+  cr_assert(Pool.pass().Stops.empty());
+}
--- a/test/support/ScriptedPool.cpp
+++ b/test/support/ScriptedPool.cpp
@@ -18,12 +18,14 @@
   Scheduler.configure(Configuration);
 }
 
-void ScriptedPool::list(const WorkerId &Id, const Resources &Capacity) {
+void ScriptedPool::list(const WorkerId &Id, const Resources &Capacity,
+                        Incarnation Life) {
   PoolWorker Worker;
   Worker.Id = Id;
   Worker.Address = Id.str() + ":1";
   Worker.Service = ServiceId("service");
   Worker.Capacity = Capacity;
+  Worker.WorkerIncarnation = Life;
   Scheduler.updateWorker(Worker, Now);
 }
 
--- a/test/support/ScriptedPool.h
+++ b/test/support/ScriptedPool.h
@@ -29,7 +29,8 @@
   TimePoint Now{std::chrono::seconds(100)};
 
   /// Lists a worker in the directory.
-  void list(const WorkerId &Id, const Resources &Capacity = WholeWorker);
+  void list(const WorkerId &Id, const Resources &Capacity = WholeWorker,
+            Incarnation Life = {});
   /// Answers a renewal that was requested now: the worker runs \p Running.
   void report(const WorkerId &Id,
               const std::vector<pool::StartOrder> &Running = {},
