Rely on stops alone once an urgent job has waited in vain

Cause: a reclaim may wait for runs that are forecast to end. If they do not, TaskGroup::AwaitedUntil keeps plans from waiting for the same runs again, but not the job from waiting for others; and its holds end just before its new plan, so that another job takes a worker that is already clear.

Change: ReclaimWaits remembers the job until it starts or ends. Its further plans count on what is free, being stopped or can be stopped, and wait only if that does not suffice, as among urgent runs. Its holds last until that plan, which replaces them.

Evidence: with a ReclaimWaits that remembers nothing, as before, three of the four tests of pool_reclaim_waits fail: no stops in the second plan, and the older job starts on the worker that was cleared. The fourth, that a job waits again where nothing may be stopped, guards the old behaviour and passes on both. All pass with the change, as do the other suites pool_* of test_correctness.

--- a/src/pool/PoolScheduler.cpp
+++ b/src/pool/PoolScheduler.cpp
@@ -192,6 +192,7 @@
     return;
   Finished.Status = Status;
   Reclaims.demandChanged();
+  Waits.drop(Finished.Spec.Id);
   markChanged(Finished);
   Log.write(Status == JobStatus::Completed ? LogLevel::Routine
                                            : LogLevel::Notice,
--- a/src/pool/PoolScheduler.h
+++ b/src/pool/PoolScheduler.h
@@ -18,6 +18,7 @@
 #include "pool/ReclaimHolds.h"
 #include "pool/ReclaimMemory.h"
 #include "pool/ReclaimPlan.h"
+#include "pool/ReclaimWaits.h"
 #include "pool/ReportedLife.h"
 #include "pool/ReserveAccess.h"
 #include "pool/RunTable.h"
@@ -343,6 +344,8 @@
   };
   /// The workers and groups that a reclaim may use.
   struct ReclaimOptions {
+    /// Runs that are forecast to end are not waited for.
+    bool StopsOnly = false;
     std::vector<WorkerState *> States;
     std::vector<ReclaimWorker> Workers;
     std::vector<GroupRef> Groups;
@@ -518,6 +521,10 @@
   /// Logs the jobs that have begun to wait at their workspace's cap.
   void logJobsAtCap(std::set<JobId> AtCap);
   void schedule(TimePoint Now, WallTime Wall);
+  /// Collects the options of a reclaim for the candidate. With \p StopsOnly,
+  /// runs that are forecast to end are not waited for.
+  ReclaimOptions reclaimOptions(const StepCandidate &Candidate, bool StopsOnly,
+                                TimePoint Now, WallTime Wall);
   /// Adds a worker to the options of a reclaim for the candidate.
   void addReclaimWorker(ReclaimOptions &Options, WorkerState &Worker,
                         const StepCandidate &Candidate, TimePoint Now,
@@ -528,8 +535,13 @@
   /// start, or leaves them to the next job that can use them.
   void releaseHolds(JobId Id);
   /// Keeps the resources of \p Tasks tasks on a worker for the candidate.
-  void holdForReclaim(const StepCandidate &Candidate, WorkerState &Worker,
-                      std::uint32_t Tasks, TimePoint Now);
+  /// Returns whether runs that are forecast to end are waited for there.
+  bool holdForReclaim(const StepCandidate &Candidate, WorkerState &Worker,
+                      std::uint32_t Tasks, bool StopsOnly, TimePoint Now);
+  /// Replaces the holds of the candidate's job by those of the plan.
+  void holdForPlan(const StepCandidate &Candidate,
+                   const ReclaimOptions &Options, const ReclaimPlan &Plan,
+                   TimePoint Now);
   /// Whether the runs of a group may be preempted for any urgent step.
   static bool isAlwaysPreemptible(const Job &Owner, const TaskGroup &Group);
   /// Whether a run may be preempted for the urgent candidate.
@@ -662,6 +674,7 @@
   /// during a pass, so a request that needs no less cannot be placed either.
   std::vector<FailedRequest> FailedPlacements;
   ReclaimMemory Reclaims;
+  ReclaimWaits Waits;
   bool Fenced = false;
   bool DirectoryCurrent = true;
 };
--- a/src/pool/PoolSchedulerPass.cpp
+++ b/src/pool/PoolSchedulerPass.cpp
@@ -297,6 +297,7 @@
                           TimePoint Now) {
   std::size_t NextWorker = 0;
   markChanged(*Candidate.Owner);
+  Waits.drop(Candidate.Owner->Spec.Id);
   Candidate.Owner->WaitingGroups -= Groups.size();
   for (TaskGroup *Group : Groups) {
     Group->State = GroupState::Active;
@@ -569,6 +570,9 @@
 void PoolScheduler::schedule(TimePoint Now, WallTime Wall) {
   if (!Configured || !DirectoryCurrent)
     return;
+  for (JobId Id : Waits.takeEnded(Now))
+    for (const WorkerId &Worker : ReclaimingWorkers)
+      Workers.at(Worker).Holds.extend(Id, Now + Limits.ReclaimTime);
   ReclaimingJobs.clear();
   std::erase_if(ReclaimingWorkers, [&](const WorkerId &Id) {
     ReclaimHolds &Holds = Workers.at(Id).Holds;
@@ -611,7 +615,8 @@
         (Urgent || Candidate.Terms->Advice))
       listWaitingGroups(Candidate);
     JobId Id = Candidate.Owner->Spec.Id;
-    bool Reclaiming = ReclaimingJobs.contains(Id);
+    bool HasHolds = ReclaimingJobs.contains(Id);
+    bool Reclaiming = HasHolds && !Waits.isDue(Id);
     // Nothing is stopped for a suspect that waits for a worker of its own.
     bool MayReclaim = Urgent && !Reclaiming && !Candidate.Isolated;
     if (!Placed && MayReclaim)
@@ -623,7 +628,7 @@
     }
     if (Candidate.Terms->Advice && !Candidate.Groups.empty() && !PendingAdvice)
       prepareAdviceRequest(Candidate, Now);
-    if (Placed && Candidate.Groups.empty() && Reclaiming && !Candidate.Isolated)
+    if (Placed && Candidate.Groups.empty() && HasHolds && !Candidate.Isolated)
       releaseHolds(Id);
     // Without a reservation, small tasks would take the resources that a gang
     // waits for. A job that is too late to be of use gets no reservation.
--- a/src/pool/PoolSchedulerReclaim.cpp
+++ b/src/pool/PoolSchedulerReclaim.cpp
@@ -140,7 +140,8 @@
     StopAssessment Assessment;
     if (Ref.Group)
       Assessment = assessStop(*Ref.Group, *Ref.Owner, Now, Wall);
-    if (Run.StopRequested || Assessment.EndsBeforeStop) {
+    if (Run.StopRequested ||
+        (Assessment.EndsBeforeStop && !Options.StopsOnly)) {
       Added.Free += Run.Allocated;
       continue;
     }
@@ -182,21 +183,64 @@
   Reclaims.roomFreed();
 }
 
-void PoolScheduler::holdForReclaim(const StepCandidate &Candidate,
+bool PoolScheduler::holdForReclaim(const StepCandidate &Candidate,
                                    WorkerState &Worker, std::uint32_t Tasks,
-                                   TimePoint Now) {
+                                   bool StopsOnly, TimePoint Now) {
   TimePoint Until = Now + Limits.ReclaimTime;
   Resources PerTask = Candidate.Step->allocatedResources();
   Worker.Holds.add({Candidate.Owner->Spec.Id,
                     PerTask * static_cast<std::int32_t>(Tasks), PerTask,
                     Until});
   ReclaimingWorkers.insert(Worker.Info.Id);
+  if (StopsOnly)
+    return false;
+  bool Awaits = false;
   for (const auto &Entry : Worker.Runs) {
     GroupRef Ref = findGroup(Entry.first.first);
-    if (Ref.Group && !Ref.Group->AwaitedUntil &&
-        StopAssessments[Ref.Group].EndsBeforeStop)
+    if (!Ref.Group || !StopAssessments[Ref.Group].EndsBeforeStop)
+      continue;
+    Awaits = true;
+    if (!Ref.Group->AwaitedUntil)
       Ref.Group->AwaitedUntil = Until;
   }
+  return Awaits;
+}
+
+void PoolScheduler::holdForPlan(const StepCandidate &Candidate,
+                                const ReclaimOptions &Options,
+                                const ReclaimPlan &Plan, TimePoint Now) {
+  JobId Id = Candidate.Owner->Spec.Id;
+  if (ReclaimingJobs.erase(Id) > 0)
+    for (const WorkerId &Worker : ReclaimingWorkers)
+      Workers.at(Worker).Holds.release(Id);
+  bool Awaits = false;
+  for (const auto &[Index, Tasks] : Plan.Tasks) {
+    if (holdForReclaim(Candidate, *Options.States[Index], Tasks,
+                       Options.StopsOnly, Now))
+      Awaits = true;
+  }
+  Waits.planned(Id, Awaits, Now + Limits.ReclaimTime);
+}
+
+PoolScheduler::ReclaimOptions
+PoolScheduler::reclaimOptions(const StepCandidate &Candidate, bool StopsOnly,
+                              TimePoint Now, WallTime Wall) {
+  ReclaimOptions Options;
+  Options.StopsOnly = StopsOnly;
+  // Of equally expensive plans, the first workers are taken.
+  SpeedPreference Preference = speedPreference(Candidate);
+  std::vector<WorkerState *> Eligible;
+  for (auto &[Id, Worker] : Workers)
+    if (eligible(Worker, Candidate, Now) && !isRisky(Worker, Candidate))
+      Eligible.push_back(&Worker);
+  std::stable_sort(Eligible.begin(), Eligible.end(),
+                   [&](const WorkerState *Left, const WorkerState *Right) {
+                     return classRank(Preference, Left->Speed) <
+                            classRank(Preference, Right->Speed);
+                   });
+  for (WorkerState *Worker : Eligible)
+    addReclaimWorker(Options, *Worker, Candidate, Now, Wall);
+  return Options;
 }
 
 bool PoolScheduler::reclaim(StepCandidate &Candidate, bool OneRack,
@@ -215,31 +259,26 @@
     return false;
   if (!Reclaims.beginPlan())
     return false;
-  ReclaimOptions Options;
-  // Of equally expensive plans, the first workers are taken.
-  SpeedPreference Preference = speedPreference(Candidate);
-  std::vector<WorkerState *> Eligible;
-  for (auto &[Id, Worker] : Workers)
-    if (eligible(Worker, Candidate, Now) && !isRisky(Worker, Candidate))
-      Eligible.push_back(&Worker);
-  std::stable_sort(Eligible.begin(), Eligible.end(),
-                   [&](const WorkerState *Left, const WorkerState *Right) {
-                     return classRank(Preference, Left->Speed) <
-                            classRank(Preference, Right->Speed);
-                   });
-  for (WorkerState *Worker : Eligible)
-    addReclaimWorker(Options, *Worker, Candidate, Now, Wall);
+  ReclaimOptions Options = reclaimOptions(
+      Candidate, Waits.needsStops(Candidate.Owner->Spec.Id), Now, Wall);
   std::optional<ReclaimPlan> Plan =
       planReclaim(Request, Options.Workers, Options.Victims);
+  // Where stops do not suffice, a further wait is the only way.
+  if (!Plan && Options.StopsOnly) {
+    if (!Reclaims.beginPlan())
+      return false;
+    Options = reclaimOptions(Candidate, false, Now, Wall);
+    Plan = planReclaim(Request, Options.Workers, Options.Victims);
+  }
   if (!Plan) {
     if (!Candidate.Terms->Advice)
       Reclaims.add(failedRequest(Request, Candidate, true), Now);
+    releaseHolds(Candidate.Owner->Spec.Id);
     return false;
   }
   ReclaimedDemands[Candidate.Owner->Spec.Id] =
       Candidate.Step->PerTask * static_cast<std::int32_t>(Request.Count);
-  for (const auto &[Index, Tasks] : Plan->Tasks)
-    holdForReclaim(Candidate, *Options.States[Index], Tasks, Now);
+  holdForPlan(Candidate, Options, *Plan, Now);
   for (std::size_t Victim : Plan->Victims) {
     GroupRef Ref = Options.Groups[Victim];
     if (Ref.Owner->Terms->Priority == 0) {
--- a/src/pool/ReclaimHolds.cpp
+++ b/src/pool/ReclaimHolds.cpp
@@ -42,6 +42,12 @@
   }
 }
 
+void ReclaimHolds::extend(JobId Job, TimePoint Until) {
+  for (Hold &Kept : Holds)
+    if (Kept.Job == Job)
+      Kept.Until = Until;
+}
+
 bool ReclaimHolds::dropExpired(TimePoint Now) {
   return std::erase_if(
              Holds, [Now](const Hold &Kept) { return Now >= Kept.Until; }) > 0;
--- a/src/pool/ReclaimHolds.h
+++ b/src/pool/ReclaimHolds.h
@@ -41,6 +41,8 @@
   void release(JobId Job);
   /// Leaves what is kept for \p Job to the job of \p Next, for as long.
   void transfer(JobId Job, const Hold &Next);
+  /// Keeps what is kept for \p Job until \p Until.
+  void extend(JobId Job, TimePoint Until);
   /// Returns whether any had expired.
   bool dropExpired(TimePoint Now);
 
