Count one loss for an unanswered start at a restarted worker

A worker that restarts before it answers a start order counts as lost under the task, and the run is kept until a stop at the new incarnation is answered. If the lease ended first, the same loss was counted once more, for the same VM, and could add up to a guilty task.

The run now says that its loss is recorded. A report that lists the run removes that: then the new incarnation has carried the order out, and its loss counts.

--- a/src/pool/PoolSchedulerCrashes.cpp
+++ b/src/pool/PoolSchedulerCrashes.cpp
@@ -103,6 +103,8 @@
     // may have crashed the earlier one.
     if (Run.StopConfirmedAt && !Run.isUnanswered())
       continue;
+    if (Run.LossRecorded)
+      continue;
     WorkerLoss Loss;
     Loss.Member = Key.first.Index - Ref.Group->FirstIndex;
     Loss.Worker = Worker.Info.Id;
--- a/src/pool/PoolSchedulerReports.cpp
+++ b/src/pool/PoolSchedulerReports.cpp
@@ -258,6 +258,7 @@
                {"worker", Worker.Info.Id.str()}});
   }
   PlacedRun &Run = Found->second;
+  Run.LossRecorded = false;
   if (Run.outlastsStop(Worker.WorkerIncarnation, SentAt, Limits.StopTime)) {
     Log.write(LogLevel::Notice, "run.outlasts_stop",
               {{"task", taskName(Reported.Task)},
@@ -362,6 +363,7 @@
   for (const RunKey &Key : OrderedOfEarlierLife) {
     PlacedRun &Run = Worker.Runs.at(Key);
     Run.UnansweredAt.reset();
+    Run.LossRecorded = true;
     Run.repeatStop(Report.WorkerIncarnation);
     GroupRef Ref = findGroup(Key.first);
     if (Ref.Group && Ref.Group->Run == Key.second)
--- a/src/pool/RunTable.h
+++ b/src/pool/RunTable.h
@@ -53,6 +53,9 @@
   bool OrderInFlight = false;
   /// When the last start order was known to get no answer.
   std::optional<TimePoint> UnansweredAt;
+  /// The loss of the worker under the unanswered start order is recorded; unset
+  /// again by a report that lists the run.
+  bool LossRecorded = false;
   bool StopRequested = false;
   /// When the worker confirmed the stop order.
   std::optional<TimePoint> StopConfirmedAt;
--- a/test/error/pool_repeated_stops.cpp
+++ b/test/error/pool_repeated_stops.cpp
@@ -5,6 +5,8 @@
 
 #include <criterion/criterion.h>
 
+#include <algorithm>
+
 using namespace banyanworks;
 using namespace banyanworks::testing;
 using namespace banyanworks::pool;
@@ -46,6 +48,14 @@
     expectStop();
   }
 
+  /// Number of workers that are counted as lost under the task.
+  std::ptrdiff_t losses() const {
+    return std::count_if(
+        Log.lines().begin(), Log.lines().end(), [](const std::string &Line) {
+          return Line.find("task.lost_worker") != std::string::npos;
+        });
+  }
+
   /// Expects a stop order in the next pass, which the worker confirms.
   void expectStop() {
     std::vector<StopOrder> Stops = pass().Stops;
@@ -103,3 +113,28 @@
   Run.reportAs(FirstLife, true);
   Run.expectStop();
 }
+
+// The lease ends before the stop at the restarted worker is answered.
+Test(pool_repeated_stops, unanswered_start_counts_as_two_losses) {
+  CancelledRun Run;
+  Run.Scheduler.startAnswered(Run.Start, OrderResult::NoAnswer, Run.Now);
+  Run.Now += Run.Limits.OrderRetry;
+  Run.reportAs(SecondLife, false);
+  cr_assert_eq(Run.losses(), 1);
+  cr_assert_eq(Run.pass().Stops.size(), 1U);
+  Run.Now += 6s;
+  Run.Scheduler.leasesExpired(Holder, Run.Now);
+  cr_assert_eq(Run.losses(), 1);
+}
+
+// The restarted worker carries the order out, and is lost as well.
+Test(pool_repeated_stops, run_that_crashes_two_lives_counts_as_two_losses) {
+  CancelledRun Run;
+  Run.Scheduler.startAnswered(Run.Start, OrderResult::NoAnswer, Run.Now);
+  Run.Now += Run.Limits.OrderRetry;
+  Run.reportAs(SecondLife, false);
+  Run.reportAs(SecondLife, true);
+  Run.Now += 6s;
+  Run.Scheduler.leasesExpired(Holder, Run.Now);
+  cr_assert_eq(Run.losses(), 2);
+}
