Exit after a graceful stop only when the last responses are sent

Cause: a process that stops exited at its deadline, whatever it was sending, and at once after a pause that outlasted the deadline, although requests waited unread in its sockets.

Callers could see a response cut or a request unanswered.

Change: ShutdownTimer decides when the process exits: at once without connections; otherwise after its answer deadline, one more poll later, when no response is left to send, and at most 0.5 s after that poll.

Why it works: responses count as in progress until their last byte is handed to the system, and a second is left between the answer deadline and the end of the grace period.

--- a/cmake/Node.cmake
+++ b/cmake/Node.cmake
@@ -9,6 +9,7 @@
   platform/AdviserLink.cpp platform/DirectoryFeed.cpp
   platform/HostControlLink.cpp
   platform/Gateway.cpp platform/Node.cpp platform/NodeSettings.cpp platform/OperatorFeed.cpp
+  platform/ShutdownTimer.cpp
   platform/StoreCodec.cpp platform/StoreLink.cpp platform/WireCodec.cpp
   platform/WorkerOrdersLink.cpp)
 target_include_directories(banyanworks_node PUBLIC src platform)
