Pace the placement of tasks by its cost

Cause: PoolOwner::schedulePass() started the next pass 5 ms after the next event, however long the last one had taken, and commitDone() ran one at once. Callers saw: in a flood of urgent jobs, an owner whose passes take 30 ms spent most of its time in them, answers waited unread, and placed runs started seconds later.

Change: PassPace, fed with the start and end of each pass that places tasks, says when the next one may: after twice the length of the last, at most MaxPassInterval, since urgent work waits meanwhile. A pass that may not place yet still sends the orders that are due (PoolScheduler::dueOrders()), commits, and renews leases, so a commit is followed by its starts and acknowledgements at once. The adviser is asked only after a placement, from which its question comes. After a cheap pass the pause is shorter than the batch delay.

All pool_* tests of test_correctness and test_error pass.

Why it works: the time of a placement is at most a third of the time up to the next one, unless it takes over 0.1 s.

--- a/src/pool/PoolOwner.cpp
+++ b/src/pool/PoolOwner.cpp
@@ -24,7 +24,8 @@
       KnownJobs(KnownJobs), Self(std::move(Self)), Limits(Limits),
       Scheduling(Scheduling), Generator(Seed),
       Horizon({Limits.LeaseTime, Limits.RenewWithoutStoreLimit,
-               Limits.FullLeasesWithoutStore, Limits.MaxWorkerLease}) {}
+               Limits.FullLeasesWithoutStore, Limits.MaxWorkerLease}),
+      Pace(Limits.MaxPassInterval) {}
 
 PoolOwner::~PoolOwner() = default;
 
@@ -243,6 +244,7 @@
   CommitInFlight = false;
   AdviceInFlight = false;
   PassScheduled = false;
+  PlacementScheduled = false;
   if (HeldOwnership && RoleChanged)
     RoleChanged(false);
   scheduleElection(Limits.ElectionRetry);
--- a/src/pool/PoolOwner.h
+++ b/src/pool/PoolOwner.h
@@ -8,6 +8,7 @@
 #include "base/Random.h"
 #include "pool/LeaseBounds.h"
 #include "pool/LeaseHorizon.h"
+#include "pool/PassPace.h"
 #include "pool/PoolConfiguration.h"
 #include "pool/PoolScheduler.h"
 #include "pool/RestartWatch.h"
@@ -178,7 +179,11 @@
 
   void jobChanged(JobId Id);
   void schedulePass();
+  /// Sends the orders that are due, and places tasks if the pace of the passes
+  /// allows it.
   void runPass();
+  /// Schedules a pass for the time at which it may place tasks.
+  void schedulePlacement(TimePoint Now);
   /// The contents of a commit, kept until its outcome is known.
   struct PendingCommit;
   void commit();
@@ -254,6 +259,8 @@
   std::unordered_map<WorkerId, Renewal> Renewals;
   RestartWatch Restarts;
   bool PassScheduled = false;
+  bool PlacementScheduled = false;
+  PassPace Pace;
   TimePoint LastPassAt;
   TimePoint LastSweepAt;
   TimePoint LoadPublishedAt;
--- a/src/pool/PoolOwnerPass.cpp
+++ b/src/pool/PoolOwnerPass.cpp
@@ -43,6 +43,18 @@
   });
 }
 
+void PoolOwner::schedulePlacement(TimePoint Now) {
+  if (std::exchange(PlacementScheduled, true))
+    return;
+  std::uint64_t CallTerm = Term;
+  Clock.schedule(Pace.nextStart() - Now, [this, CallTerm] {
+    if (CallTerm != Term)
+      return;
+    PlacementScheduled = false;
+    runPass();
+  });
+}
+
 void PoolOwner::runPass() {
   PassScheduled = false;
   if (Scheduler->fenced()) {
@@ -66,13 +78,20 @@
     updateLeaseBounds(Now);
   }
   Scheduler->setDirectoryCurrent(directoryCurrent(Now));
-  PoolOrders Orders = Scheduler->runPass(Now, Clock.wallNow());
-  sendOrders(Orders);
+  bool MayPlace = Pace.mayStartAt(Now);
+  sendOrders(MayPlace ? Scheduler->runPass(Now, Clock.wallNow())
+                      : Scheduler->dueOrders(Now));
   commit();
-  askAdviser();
+  // A question for the adviser comes from the placement.
+  if (MayPlace)
+    askAdviser();
   renewWorkers(SweepDue);
   if (SweepDue)
     removeFinalJobs();
+  if (MayPlace)
+    Pace.passed(Now, Clock.now());
+  else
+    schedulePlacement(Now);
   if (PassScheduled)
     return;
   // Work may become due without an event, so the next pass has a time limit.
--- a/src/pool/PoolScheduler.h
+++ b/src/pool/PoolScheduler.h
@@ -172,6 +172,8 @@
 
   /// Places the tasks that fit and returns the orders that are due.
   PoolOrders runPass(TimePoint Now, WallTime Wall);
+  /// Returns the orders that are due, without placing tasks.
+  PoolOrders dueOrders(TimePoint Now);
 
   /// The next request to the adviser; nothing if none is needed.
   const std::optional<AdviceRequest> &pendingAdvice() const {
--- a/src/pool/PoolSchedulerOrders.cpp
+++ b/src/pool/PoolSchedulerOrders.cpp
@@ -16,6 +16,15 @@
   return Worker.Allocated.fitsIn(Worker.Info.Capacity);
 }
 
+PoolOrders PoolScheduler::dueOrders(TimePoint Now) {
+  PoolOrders Orders;
+  orderStarts(Orders, Now);
+  orderStops(Orders, Now);
+  orderPaces(Orders, Now);
+  pruneOrderSets();
+  return Orders;
+}
+
 void PoolScheduler::orderStarts(PoolOrders &Orders, TimePoint Now) {
   if (!DirectoryCurrent)
     return;
--- a/src/pool/PoolSchedulerPass.cpp
+++ b/src/pool/PoolSchedulerPass.cpp
@@ -669,12 +669,7 @@
     clearAvailableWorkers();
   }
   schedule(Now, Wall);
-  PoolOrders Orders;
-  orderStarts(Orders, Now);
-  orderStops(Orders, Now);
-  orderPaces(Orders, Now);
-  pruneOrderSets();
-  return Orders;
+  return dueOrders(Now);
 }
 
 } // namespace banyanworks::pool
