Serve all ready descriptors before the timers run

Cause: EventLoop::run() took at most 64 ready descriptors a turn and then ran the timers. With 1,100 workers answering, the answer to a commit waited behind theirs, with a slow timer between each 64 of them. Callers saw: jobs that were recorded late while an owner's passes were slow.

Change: a turn takes as many events as there are watched descriptors. So each descriptor that is ready at the start of a turn is served once, and one that stays ready delays the timers by one call.

Evidence: event_loop_turns::last_of_many_ready_descriptors_is_read_within_two_turns (1,101 descriptors, a timer of 30 ms) failed on the code before with more than two turns, and passes now. descriptors_that_stay_ready_do_not_delay_timers passed before as well; it guards against a loop that polls until nothing is ready.

Why it works: all answers that have arrived are read before the next timer.

--- a/src/edge/EventLoop.cpp
+++ b/src/edge/EventLoop.cpp
@@ -5,7 +5,6 @@
 #include "base/Check.h"
 
 #include <algorithm>
-#include <array>
 #include <cerrno>
 #include <ctime>
 #include <sys/epoll.h>
@@ -16,8 +15,6 @@
 
 namespace {
 
-/// Descriptors handled after one epoll_wait().
-constexpr int MaxEventsPerPoll = 64;
 /// Longest wait without a timer, so that a signal is noticed soon.
 constexpr Duration MaxSleep = std::chrono::milliseconds(200);
 
@@ -88,12 +85,15 @@
       Sleep = std::min(Sleep, PendingTimers.begin()->first - now());
     auto Millis = std::chrono::ceil<std::chrono::milliseconds>(
         std::max(Sleep, Duration::zero()));
-    std::array<epoll_event, MaxEventsPerPoll> Events{};
-    int Count = epoll_wait(EpollDescriptor, Events.data(), MaxEventsPerPoll,
+    // Timers may take long. If they ran between parts of the descriptors, an
+    // answer would wait for them once for each part before its own.
+    ReadyEvents.resize(std::max<std::size_t>(1, Handlers.size()));
+    int Count = epoll_wait(EpollDescriptor, ReadyEvents.data(),
+                           static_cast<int>(ReadyEvents.size()),
                            static_cast<int>(Millis.count()));
     TimePoint TurnStart = now();
     for (int Index = 0; Index < Count; ++Index) {
-      const epoll_event &Event = Events.at(static_cast<std::size_t>(Index));
+      const epoll_event &Event = ReadyEvents[static_cast<std::size_t>(Index)];
       auto Found = Handlers.find(Event.data.fd);
       if (Found == Handlers.end())
         continue;
--- a/src/edge/EventLoop.h
+++ b/src/edge/EventLoop.h
@@ -9,10 +9,15 @@
 #include <functional>
 #include <map>
 #include <unordered_map>
+#include <vector>
+
+struct epoll_event;
 
 namespace banyanworks {
 
-/// Calls handlers until stopped. Not thread-safe.
+/// Calls handlers until stopped. Each turn serves every descriptor that is
+/// ready at its start once, and then runs the timers that are due. Not
+/// thread-safe.
 class EventLoop : public Timers {
 public:
   /// Called with whether the descriptor can be read and written.
@@ -48,6 +53,8 @@
   Duration LongestTurn{};
   std::unordered_map<int, Handler> Handlers;
   std::multimap<TimePoint, std::function<void()>> PendingTimers;
+  /// Buffer for the descriptors that are ready in a turn.
+  std::vector<epoll_event> ReadyEvents;
 };
 
 } // namespace banyanworks
