Drop events of a descriptor that was closed in the same turn

Cause: EventLoop::run() found the handler of an event by the number of the descriptor. If an earlier handler of the turn had closed that descriptor and a new one had got its number, the new handler was called with the old event. Callers saw: nothing known; a new connection could be taken for readable or failed. Turns that serve all ready descriptors make it likelier.

Change: each watch has a number, which epoll returns with its events; events of an earlier watch are dropped.

Evidence: event_loop_turns::reused_descriptor_gets_no_event_of_the_earlier_one failed on the code before (the handler of the new descriptor was called) and passes now.

Why it works: a descriptor that is closed and opened again is another watch.

--- a/src/edge/EventLoop.cpp
+++ b/src/edge/EventLoop.cpp
@@ -26,6 +26,15 @@
              std::chrono::nanoseconds(Time.tv_nsec));
 }
 
+/// Packs what identifies a watched descriptor into an event of epoll.
+std::uint64_t eventData(int Descriptor, std::uint32_t Watch) {
+  return std::uint64_t{Watch} << 32U | static_cast<std::uint32_t>(Descriptor);
+}
+
+int descriptorOf(std::uint64_t EventData) {
+  return static_cast<int>(static_cast<std::uint32_t>(EventData));
+}
+
 } // namespace
 
 EventLoop::EventLoop() : EpollDescriptor(epoll_create1(EPOLL_CLOEXEC)) {
@@ -49,12 +58,14 @@
 }
 
 void EventLoop::watch(int Descriptor, bool Read, bool Write, Handler OnReady) {
+  auto [Watched, IsNew] = Handlers.try_emplace(Descriptor);
+  if (IsNew)
+    Watched->second.Number = ++LastWatch;
+  Watched->second.OnReady = std::move(OnReady);
   epoll_event Event{};
   Event.events = (Read ? EPOLLIN : 0U) | (Write ? EPOLLOUT : 0U);
-  Event.data.fd = Descriptor;
-  bool IsWatched = Handlers.contains(Descriptor);
-  Handlers[Descriptor] = std::move(OnReady);
-  if (epoll_ctl(EpollDescriptor, IsWatched ? EPOLL_CTL_MOD : EPOLL_CTL_ADD,
+  Event.data.u64 = eventData(Descriptor, Watched->second.Number);
+  if (epoll_ctl(EpollDescriptor, IsNew ? EPOLL_CTL_ADD : EPOLL_CTL_MOD,
                 Descriptor, &Event) == 0)
     return;
   // A library may have closed the descriptor and reused its number.
@@ -94,11 +105,14 @@
     TimePoint TurnStart = now();
     for (int Index = 0; Index < Count; ++Index) {
       const epoll_event &Event = ReadyEvents[static_cast<std::size_t>(Index)];
-      auto Found = Handlers.find(Event.data.fd);
-      if (Found == Handlers.end())
+      auto Found = Handlers.find(descriptorOf(Event.data.u64));
+      // An earlier handler of this turn may have closed the descriptor, and a
+      // new one may have its number.
+      if (Found == Handlers.end() ||
+          Event.data.u64 != eventData(Found->first, Found->second.Number))
         continue;
       constexpr unsigned ErrorEvents = EPOLLERR | EPOLLHUP;
-      Handler OnReady = Found->second;
+      Handler OnReady = Found->second.OnReady;
       OnReady((Event.events & (EPOLLIN | ErrorEvents)) != 0,
               (Event.events & (EPOLLOUT | ErrorEvents)) != 0);
     }
--- a/src/edge/EventLoop.h
+++ b/src/edge/EventLoop.h
@@ -51,7 +51,13 @@
   int EpollDescriptor;
   bool Running = true;
   Duration LongestTurn{};
-  std::unordered_map<int, Handler> Handlers;
+  struct WatchedDescriptor {
+    /// Distinguishes descriptors that have used the same number.
+    std::uint32_t Number = 0;
+    Handler OnReady;
+  };
+  std::uint32_t LastWatch = 0;
+  std::unordered_map<int, WatchedDescriptor> Handlers;
   std::multimap<TimePoint, std::function<void()>> PendingTimers;
   /// Buffer for the descriptors that are ready in a turn.
   std::vector<epoll_event> ReadyEvents;
--- a/test/error/event_loop_turns.cpp
+++ b/test/error/event_loop_turns.cpp
@@ -75,3 +75,29 @@
   Loop.run();
   cr_assert_leq(Served, Ready.Descriptors.size());
 }
+
+Test(event_loop_turns, reused_descriptor_gets_no_event_of_the_earlier_one) {
+  ReadyDescriptors Ready(2);
+  EventLoop &Loop = Ready.Loop;
+  bool Stale = false;
+  int Reopened = -1;
+  // Whichever is served first closes the other and opens a new one, which gets
+  // the same number and is not ready.
+  auto Replace = [&](int Other) {
+    if (Reopened >= 0)
+      return;
+    Loop.unwatch(Other);
+    close(Other);
+    Reopened = eventfd(0, EFD_NONBLOCK);
+    cr_assert_eq(Reopened, Other);
+    Loop.watch(Reopened, true, false, [&Stale](bool, bool) { Stale = true; });
+    Loop.schedule(0ms, [&Loop] { Loop.stop(); });
+  };
+  int First = Ready.Descriptors[0];
+  int Second = Ready.Descriptors[1];
+  Loop.watch(First, true, false, [&](bool, bool) { Replace(Second); });
+  Loop.watch(Second, true, false, [&](bool, bool) { Replace(First); });
+  Loop.run();
+  cr_assert_geq(Reopened, 0);
+  cr_assert_not(Stale);
+}
