Remember also urgent jobs whose stops served another job

Cause: ReclaimWaits remembered only jobs whose plan counted on runs to end. A job that shares the resources of a plan of stops may start on them and leave its own holds, on runs that do not end; the job of that plan waits too.

Change: all plans whose holds end before the job starts count as waits in vain. A job that reaches its workspace's cap is forgotten, like its holds.

Evidence: pool_reclaim_waits/job_whose_stops_served_another_stops_again fails if plans with victims are not remembered (no stop in the second plan) and passes with the change, as do all 148 tests pool_* of test_correctness. job_is_remembered_until_it_starts_or_ends no longer covers a plan that is not remembered, since there is none.

--- a/src/pool/PoolScheduler.h
+++ b/src/pool/PoolScheduler.h
@@ -537,8 +537,7 @@
   /// start, or leaves them to the next job that can use them.
   void releaseHolds(JobId Id);
   /// Keeps the resources of \p Tasks tasks on a worker for the candidate.
-  /// Returns whether runs that are forecast to end are waited for there.
-  bool holdForReclaim(const StepCandidate &Candidate, WorkerState &Worker,
+  void holdForReclaim(const StepCandidate &Candidate, WorkerState &Worker,
                       std::uint32_t Tasks, bool StopsOnly, TimePoint Now);
   /// Replaces the holds of the candidate's job by those of the plan.
   void holdForPlan(const StepCandidate &Candidate,
--- a/src/pool/PoolSchedulerPass.cpp
+++ b/src/pool/PoolSchedulerPass.cpp
@@ -608,6 +608,7 @@
     if (!Placed && isAtCap(Candidate)) {
       AtCap.insert(Candidate.Owner->Spec.Id);
       releaseHolds(Candidate.Owner->Spec.Id);
+      Waits.drop(Candidate.Owner->Spec.Id);
       continue;
     }
     // tryPlace() does not list the groups of a request that is known to fail.
--- a/src/pool/PoolSchedulerReclaim.cpp
+++ b/src/pool/PoolSchedulerReclaim.cpp
@@ -183,7 +183,7 @@
   Reclaims.roomFreed();
 }
 
-bool PoolScheduler::holdForReclaim(const StepCandidate &Candidate,
+void PoolScheduler::holdForReclaim(const StepCandidate &Candidate,
                                    WorkerState &Worker, std::uint32_t Tasks,
                                    bool StopsOnly, TimePoint Now) {
   TimePoint Until = Now + Limits.ReclaimTime;
@@ -193,17 +193,13 @@
                     Until});
   ReclaimingWorkers.insert(Worker.Info.Id);
   if (StopsOnly)
-    return false;
-  bool Awaits = false;
+    return;
   for (const auto &Entry : Worker.Runs) {
     GroupRef Ref = findGroup(Entry.first.first);
-    if (!Ref.Group || !StopAssessments[Ref.Group].EndsBeforeStop)
-      continue;
-    Awaits = true;
-    if (!Ref.Group->AwaitedUntil)
+    if (Ref.Group && !Ref.Group->AwaitedUntil &&
+        StopAssessments[Ref.Group].EndsBeforeStop)
       Ref.Group->AwaitedUntil = Until;
   }
-  return Awaits;
 }
 
 void PoolScheduler::holdForPlan(const StepCandidate &Candidate,
@@ -213,13 +209,10 @@
   if (ReclaimingJobs.erase(Id) > 0)
     for (const WorkerId &Worker : ReclaimingWorkers)
       Workers.at(Worker).Holds.release(Id);
-  bool Awaits = false;
-  for (const auto &[Index, Tasks] : Plan.Tasks) {
-    if (holdForReclaim(Candidate, *Options.States[Index], Tasks,
-                       Options.StopsOnly, Now))
-      Awaits = true;
-  }
-  Waits.planned(Id, Awaits, Now + Limits.ReclaimTime);
+  for (const auto &[Index, Tasks] : Plan.Tasks)
+    holdForReclaim(Candidate, *Options.States[Index], Tasks, Options.StopsOnly,
+                   Now);
+  Waits.planned(Id, Now + Limits.ReclaimTime);
 }
 
 PoolScheduler::ReclaimOptions
--- a/src/pool/ReclaimWaits.cpp
+++ b/src/pool/ReclaimWaits.cpp
@@ -4,15 +4,10 @@
 
 namespace banyanworks::pool {
 
-void ReclaimWaits::planned(JobId Job, bool Awaits, TimePoint Until) {
-  auto Found = Waits.find(Job);
-  if (Found == Waits.end()) {
-    if (Awaits)
-      Waits.emplace(Job, Wait{Until});
-    return;
-  }
-  Found->second.Until = Until;
-  Found->second.Due = false;
+void ReclaimWaits::planned(JobId Job, TimePoint Until) {
+  Wait &Entry = Waits[Job];
+  Entry.Until = Until;
+  Entry.Due = false;
 }
 
 std::vector<JobId> ReclaimWaits::takeEnded(TimePoint Now) {
--- a/src/pool/ReclaimWaits.h
+++ b/src/pool/ReclaimWaits.h
@@ -17,9 +17,10 @@
 /// alone: each further wait could be in vain too.
 class ReclaimWaits {
 public:
-  /// Handles a plan of the job, whose resources are kept until \p Until.
-  /// \p Awaits tells whether it relies on the ends of runs.
-  void planned(JobId Job, bool Awaits, TimePoint Until);
+  /// Handles a plan of the job, whose resources are kept until \p Until. Also a
+  /// plan of stops alone may have to wait for runs, since a job that shares its
+  /// resources may start on them and leave its own.
+  void planned(JobId Job, TimePoint Until);
   /// Returns the jobs whose waits have ended in vain since the last call. What
   /// is kept for them stays kept until they are planned again.
   std::vector<JobId> takeEnded(TimePoint Now);
@@ -27,7 +28,7 @@
   bool isDue(JobId Job) const;
   /// Whether the next plan of the job relies on stops alone.
   bool needsStops(JobId Job) const;
-  /// Handles a job that has started or ended, or that cannot be planned.
+  /// Handles a job that has started or ended, or that may not start.
   void drop(JobId Job) { Waits.erase(Job); }
 
 private:
--- a/test/correctness/pool_reclaim_waits.cpp
+++ b/test/correctness/pool_reclaim_waits.cpp
@@ -119,6 +119,33 @@
   cr_assert_eq(Stops, 2U);
 }
 
+// A job of the same task size may start on what the first plan stopped, and
+// leave runs that do not end.
+Test(pool_reclaim_waits, job_whose_stops_served_another_stops_again) {
+  BusyPool Pool;
+  for (auto &[Id, Percent] : Pool.Percents)
+    Percent = 60;
+  Pool.Percents[WorkerId("w1")] = 96;
+  Pool.reportAll();
+  // The first job waits for w1, the second one stops another run.
+  Pool.submitGang(10, 1);
+  cr_assert(Pool.pass().Stops.empty());
+  Pool.Now += 10ms;
+  Pool.submitGang(11, 1);
+  std::vector<StopOrder> Stops = Pool.pass().Stops;
+  cr_assert_eq(Stops.size(), 1U);
+  Pool.Now += 500ms;
+  Pool.end(Stops.front().Worker);
+  cr_assert_eq(Pool.startAll().size(), 1U);
+  // A run that is forecast to end when the time of the first plan is over.
+  for (auto &[Id, Percent] : Pool.Percents)
+    Percent = 96;
+  Pool.Now += Pool.Limits.ReclaimTime - 510ms;
+  Pool.reportAll();
+  Pool.Now += 10ms;
+  cr_assert_eq(Pool.pass().Stops.size(), 1U);
+}
+
 // Urgent runs cannot be stopped, so that a further wait is the only way.
 Test(pool_reclaim_waits, waits_again_if_nothing_may_be_stopped) {
   ScriptedPool Pool;
@@ -153,16 +180,14 @@
 
 Test(pool_reclaim_waits, job_is_remembered_until_it_starts_or_ends) {
   ReclaimWaits Waits;
-  JobId Stopping(1);
-  JobId Waiting(2);
-  Waits.planned(Stopping, false, Begin + 1s);
-  Waits.planned(Waiting, true, Begin + 1s);
+  JobId Waiting(1);
+  Waits.planned(Waiting, Begin + 1s);
   cr_assert(Waits.takeEnded(Begin + 999ms).empty());
   cr_assert_not(Waits.needsStops(Waiting));
   cr_assert(Waits.takeEnded(Begin + 1s) == std::vector<JobId>{Waiting});
   cr_assert(Waits.takeEnded(Begin + 1s).empty());
   cr_assert(Waits.isDue(Waiting) && Waits.needsStops(Waiting));
-  Waits.planned(Waiting, false, Begin + 2s);
+  Waits.planned(Waiting, Begin + 2s);
   cr_assert_not(Waits.isDue(Waiting));
   cr_assert(Waits.needsStops(Waiting));
   Waits.drop(Waiting);
