Measure speeds on the clock of the worker

Cause: sampleSpeed() and measureRate() used the time at which the owner read a report. Reports that were read with irregular delays showed a steady worker as fast and then as slow. Callers saw: runs stopped with worker_slow on healthy workers when the owner was late.

HttpCallResult::FirstByteAt is no better than the time of reading, since it is taken when the process reads the byte.

Why it works: a worker's clock advances with its work, whenever the owner reads.

--- a/src/pool/PoolScheduler.h
+++ b/src/pool/PoolScheduler.h
@@ -389,7 +389,8 @@
                             const PlacedRun &Run);
   /// Removes a run that has ended and frees its resources.
   void removeRun(WorkerState &Worker, RunTable::iterator Run);
-  void processEnd(WorkerState &Worker, const ReportedEnd &End, TimePoint Now);
+  void processEnd(WorkerState &Worker, const ReportedEnd &End,
+                  std::optional<WorkerTime> MadeAt, TimePoint Now);
   void taskFailed(WorkerState &Worker, const TaskKey &Task, GroupRef Ref,
                   TimePoint Now);
   /// Returns the newest run of a member; null if no worker holds it.
@@ -402,8 +403,9 @@
   /// to be stopped. Returns the tail response time of a serving task divided by
   /// its target, nothing for other tasks.
   std::optional<double> updateRun(WorkerState &Worker,
-                                  const ReportedRun &Reported, TimePoint SentAt,
-                                  TimePoint Now);
+                                  const ReportedRun &Reported,
+                                  std::optional<WorkerTime> MadeAt,
+                                  TimePoint SentAt, TimePoint Now);
   /// Removes runs that the worker held before the report was requested, and
   /// that the report lists neither as running nor as ended. A truncated report
   /// shows only that runs of an earlier incarnation are gone. An unanswered
@@ -571,12 +573,14 @@
   /// the order functions visit.
   void pruneOrderSets();
   /// Measures the speed of a run and compares it with the run's earlier speed.
+  /// \p MadeAt is the time of the report: the owner may read it much later.
   static void sampleSpeed(WorkerState &Worker, PlacedRun &Run,
-                          std::uint32_t Percent, TimePoint Now);
+                          std::uint32_t Percent, WorkerTime MadeAt,
+                          TimePoint Now);
   /// Gives the rate of a run to WorkerSpeeds once enough progress is seen.
   void measureRate(const WorkerState &Worker, const RunKey &Key,
                    const StepSpec &Step, PlacedRun &Run, std::uint32_t Percent,
-                   TimePoint Now);
+                   WorkerTime MadeAt, TimePoint Now);
   void forgetSpeed(WorkerState &Worker);
   void updateSpeedClasses(TimePoint Now);
   SpeedPreference speedPreference(const StepCandidate &Candidate) const;
--- a/src/pool/PoolSchedulerReports.cpp
+++ b/src/pool/PoolSchedulerReports.cpp
@@ -120,10 +120,11 @@
                {"runs_there", Worker.Runs.size()}});
   }
   for (const ReportedEnd &End : Report.Ended)
-    processEnd(Worker, End, Now);
+    processEnd(Worker, End, Report.MadeAt, Now);
   std::optional<double> WorstTail;
   for (const ReportedRun &Reported : Report.Running)
-    WorstTail = std::max(WorstTail, updateRun(Worker, Reported, SentAt, Now));
+    WorstTail = std::max(
+        WorstTail, updateRun(Worker, Reported, Report.MadeAt, SentAt, Now));
   removeUnreportedRuns(Worker, Report, SentAt, Now);
   throttleBestEffort(Worker, WorstTail, Now);
 }
@@ -156,6 +157,7 @@
 }
 
 void PoolScheduler::processEnd(WorkerState &Worker, const ReportedEnd &End,
+                               std::optional<WorkerTime> MadeAt,
                                TimePoint Now) {
   if (End.Sequence <= Worker.HighestEnd)
     return;
@@ -175,9 +177,9 @@
     Ref.Group->Checkpoint = End.Checkpoint;
   auto Run = Worker.Runs.find({End.Task, End.Run});
   if (Run != Worker.Runs.end()) {
-    if (WasActive && End.Outcome == RunEnd::Done)
+    if (MadeAt && WasActive && End.Outcome == RunEnd::Done)
       measureRate(Worker, Run->first, Ref.Owner->Spec.Steps[End.Task.Step],
-                  Run->second, 100, Now);
+                  Run->second, 100, *MadeAt, Now);
     removeRun(Worker, Run);
   }
   if (WasActive) {
@@ -233,6 +235,7 @@
 
 std::optional<double> PoolScheduler::updateRun(WorkerState &Worker,
                                                const ReportedRun &Reported,
+                                               std::optional<WorkerTime> MadeAt,
                                                TimePoint SentAt,
                                                TimePoint Now) {
   RunKey Key(Reported.Task, Reported.Run);
@@ -277,11 +280,11 @@
       Ref.Group ? &Ref.Owner->Spec.Steps[Reported.Task.Step] : nullptr;
   // The speed of a best-effort task depends on the idle processor time and its
   // pace, so it tells nothing about the worker.
-  if (!Step || !Step->FillsIdle)
-    sampleSpeed(Worker, Run, Reported.Percent, Now);
+  if (MadeAt && (!Step || !Step->FillsIdle))
+    sampleSpeed(Worker, Run, Reported.Percent, *MadeAt, Now);
   // The work of a run that reports 100 ended at an unknown time before.
-  if (Step && Reported.Percent < 100)
-    measureRate(Worker, Key, *Step, Run, Reported.Percent, Now);
+  if (MadeAt && Step && Reported.Percent < 100)
+    measureRate(Worker, Key, *Step, Run, Reported.Percent, *MadeAt, Now);
   Run.ProgressPercent = Reported.Percent;
   Run.ReportedAt = Now;
   if (!Run.FirstPercent) {
@@ -304,13 +307,14 @@
 }
 
 void PoolScheduler::sampleSpeed(WorkerState &Worker, PlacedRun &Run,
-                                std::uint32_t Percent, TimePoint Now) {
+                                std::uint32_t Percent, WorkerTime MadeAt,
+                                TimePoint Now) {
   if (Run.StopRequested || Percent >= 100)
     return;
-  Duration Span = Now - Run.SampledAt;
-  if (Run.SampledAt != TimePoint() && Span < MinSampleInterval)
+  Duration Span = MadeAt - Run.SampledAt.value_or(MadeAt);
+  if (Run.SampledAt && Span < MinSampleInterval)
     return;
-  bool Comparable = Run.SampledAt != TimePoint() && Span < MaxSampleInterval &&
+  bool Comparable = Run.SampledAt && Span < MaxSampleInterval &&
                     Percent >= Run.SampledPercent;
   if (Comparable) {
     double Speed = (Percent - Run.SampledPercent) / toSeconds(Span);
@@ -322,7 +326,7 @@
     if (!Worker.Slowdown.isSlow(Now))
       Run.BestSpeed = std::max(Run.BestSpeed, Speed);
   }
-  Run.SampledAt = Now;
+  Run.SampledAt = MadeAt;
   Run.SampledPercent = Percent;
 }
 
--- a/src/pool/PoolSchedulerSpeeds.cpp
+++ b/src/pool/PoolSchedulerSpeeds.cpp
@@ -11,7 +11,8 @@
 
 void PoolScheduler::measureRate(const WorkerState &Worker, const RunKey &Key,
                                 const StepSpec &Step, PlacedRun &Run,
-                                std::uint32_t Percent, TimePoint Now) {
+                                std::uint32_t Percent, WorkerTime MadeAt,
+                                TimePoint Now) {
   // All members of a gang advance at the pace of the slowest. The pace of a
   // best-effort task depends on idle processor time.
   if (!Limits.LearnSpeeds || Run.Rated || Run.StopRequested || Percent == 0 ||
@@ -19,17 +20,18 @@
     return;
   if (!Run.RatedFromPercent) {
     Run.RatedFromPercent = Percent;
-    Run.RatedFrom = Now;
+    Run.RatedFrom = MadeAt;
     return;
   }
   if (Percent < *Run.RatedFromPercent + WorkerSpeeds::MeasuredPercent ||
-      Now <= Run.RatedFrom)
+      MadeAt <= Run.RatedFrom)
     return;
   Run.Rated = true;
   const TaskKey &Task = Key.first;
-  Speeds.addRate(
-      {Task.Job, Task.Occurrence, Task.Step}, Worker.Info.Id,
-      (Percent - *Run.RatedFromPercent) / toSeconds(Now - Run.RatedFrom), Now);
+  Speeds.addRate({Task.Job, Task.Occurrence, Task.Step}, Worker.Info.Id,
+                 (Percent - *Run.RatedFromPercent) /
+                     toSeconds(MadeAt - Run.RatedFrom),
+                 Now);
 }
 
 void PoolScheduler::forgetSpeed(WorkerState &Worker) {
--- a/src/pool/RunTable.h
+++ b/src/pool/RunTable.h
@@ -8,6 +8,7 @@
 #include "base/Time.h"
 #include "base/Units.h"
 #include "pool/TaskKey.h"
+#include "pool/WorkerTime.h"
 
 #include <cstdint>
 #include <map>
@@ -68,7 +69,7 @@
   TimePoint FirstReportedAt;
   /// Progress at the last sample that entered the speed measurement.
   std::uint32_t SampledPercent = 0;
-  TimePoint SampledAt;
+  std::optional<WorkerTime> SampledAt;
   /// Pace that the worker confirmed last; nothing if unknown, as for a
   /// best-effort task that an earlier owner started.
   std::optional<std::uint32_t> ConfirmedPacePercent = 100;
@@ -78,7 +79,7 @@
   double BestSpeed = 0.0;
   /// First sample for WorkerSpeeds; nothing before the run makes progress.
   std::optional<std::uint32_t> RatedFromPercent;
-  TimePoint RatedFrom;
+  WorkerTime RatedFrom;
   /// The run has given its rate to WorkerSpeeds.
   bool Rated = false;
 
--- a/src/pool/WorkerOrders.h
+++ b/src/pool/WorkerOrders.h
@@ -5,9 +5,11 @@
 #define BANYANWORKS_POOL_WORKERORDERS_H
 
 #include "pool/TaskKey.h"
+#include "pool/WorkerTime.h"
 
 #include "base/Time.h"
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -105,6 +107,8 @@
   /// Error message of a call without an answer, as for a refused connection.
   std::string Fault;
   Incarnation WorkerIncarnation;
+  /// When the worker made the report; nothing if it does not say so.
+  std::optional<WorkerTime> MadeAt;
   std::vector<ReportedRun> Running;
   std::vector<ReportedEnd> Ended;
   /// The worker may hold more ends than the report lists. It reports them once
--- a/test/correctness/pool_learned_speeds.cpp
+++ b/test/correctness/pool_learned_speeds.cpp
@@ -110,6 +110,7 @@
     for (std::uint64_t Number = 0; Number < WorkerCount; ++Number) {
       WorkerReport Report;
       Report.Result = OrderResult::Done;
+      Report.MadeAt = WorkerTime(Now.time_since_epoch());
       for (const StartOrder &Order : Started[id(Number)])
         Report.Running.push_back({Order.Task, Order.Run, "",
                                   isFast(id(Number)) ? FastPercent : Percent});
@@ -121,6 +122,7 @@
     for (auto &[Id, Orders] : Started) {
       WorkerReport Report;
       Report.Result = OrderResult::Done;
+      Report.MadeAt = WorkerTime(Now.time_since_epoch());
       for (const StartOrder &Order : Orders)
         Report.Ended.push_back(
             {++LastEnd[Id], Order.Task, Order.Run, RunEnd::Done, ""});
--- a/test/support/FakeWorkerPool.cpp
+++ b/test/support/FakeWorkerPool.cpp
@@ -431,6 +431,7 @@
   });
   Report.Result = OrderResult::Done;
   Report.WorkerIncarnation = Incarnation(State.IncarnationNumber);
+  Report.MadeAt = WorkerTime(Clock.now().time_since_epoch());
   Report.Ended = State.Ended;
   Report.Ended.resize(std::min(Report.Ended.size(), MaxListedEnds));
   Report.EndsTruncated = Report.Ended.size() >= MaxListedEnds;
--- a/test/support/PoolWorkload.cpp
+++ b/test/support/PoolWorkload.cpp
@@ -161,6 +161,7 @@
   WorkerReport Report;
   Report.Result = OrderResult::Done;
   Report.WorkerIncarnation = Incarnation(1);
+  Report.MadeAt = WorkerTime(Clock.now().time_since_epoch());
   for (const auto &[Key, Run] : Runs) {
     if (Run.Worker != Id)
       continue;
--- a/test/support/ScriptedPool.cpp
+++ b/test/support/ScriptedPool.cpp
@@ -35,6 +35,7 @@
   WorkerReport Report;
   Report.Result = OrderResult::Done;
   Report.WorkerIncarnation = Life;
+  Report.MadeAt = WorkerTime(Now.time_since_epoch());
   for (const StartOrder &Order : Running)
     Report.Running.push_back({Order.Task, Order.Run, "", 10, 0});
   Scheduler.workerReported(Id, Report, Now, Now);
