Count second runs beside late runs that the owner knows of

Fake workers exempted each start beside a run of an earlier order, for as long as that run lasted. A start that is sent 1 s after a report has listed that run could be prevented, and is counted again.

--- a/test/support/FakeWorkerPool.cpp
+++ b/test/support/FakeWorkerPool.cpp
@@ -17,6 +17,8 @@
 
 constexpr Duration AnswerTimeout = std::chrono::milliseconds(800);
 constexpr Duration PollInterval = std::chrono::milliseconds(5);
+/// Time after which the owner knows of a run that a report has listed.
+constexpr Duration KnownAfter = std::chrono::seconds(1);
 constexpr Duration LeaseEndMargin = std::chrono::milliseconds(100);
 
 } // namespace
@@ -87,6 +89,7 @@
   State.Ended.clear();
   State.OfEarlierOrders.clear();
   State.EndsOfEarlierOrders.clear();
+  State.ListedOfEarlierOrders.clear();
   State.HighestEnded.clear();
   State.Allocated = Resources();
   State.Token = Epoch();
@@ -181,8 +184,12 @@
   bool Preventable = !State.OfEarlierOrders.contains(Key);
   for (const auto &[Id, Other] : Workers) {
     for (const auto &Entry : Other.Runs) {
+      auto Listed = Other.ListedOfEarlierOrders.find(Entry.first);
+      bool Unknown = Other.OfEarlierOrders.contains(Entry.first) &&
+                     (Listed == Other.ListedOfEarlierOrders.end() ||
+                      SentAt < Listed->second + KnownAfter);
       if (Other.Up && Entry.first.first == Order.Task && Preventable &&
-          !Other.OfEarlierOrders.contains(Entry.first))
+          !Unknown)
         recordViolation("task runs twice at the same time:", Key);
     }
   }
@@ -436,6 +443,8 @@
   Report.Ended.resize(std::min(Report.Ended.size(), MaxListedEnds));
   Report.EndsTruncated = Report.Ended.size() >= MaxListedEnds;
   for (const auto &Entry : State.Runs) {
+    if (State.OfEarlierOrders.contains(Entry.first))
+      State.ListedOfEarlierOrders.try_emplace(Entry.first, Clock.now());
     Report.Running.push_back(
         {Entry.first.first, Entry.first.second, "",
          percentOf(State, Entry.first),
--- a/test/support/FakeWorkerPool.h
+++ b/test/support/FakeWorkerPool.h
@@ -177,6 +177,8 @@
     /// Runs whose start orders were sent to an earlier incarnation.
     std::set<pool::RunKey> OfEarlierOrders;
     std::set<std::uint64_t> EndsOfEarlierOrders;
+    /// When a report first listed a run of an earlier order.
+    std::map<pool::RunKey, TimePoint> ListedOfEarlierOrders;
     /// When each run started to advance, and the time that it needs.
     std::map<pool::RunKey, std::pair<TimePoint, Duration>> Advancing;
   };
