Condition the removal of a final job on the ownership

Cause: PoolOwner::removeFinalJobs() removed the records of a final job unconditionally, so that a removal which a former owner had sent could take effect after the takeover. The successor still held the job then: it took a new submission of the id for the removed job, and an accepted job never ran.

Change: the removal requires the entry of the ownership to be the one that this owner has written. The successor removes the job itself after its retention.

Evidence: pool_relisted_jobs::removal_by_a_former_owner_arrives_after_a_takeover failed on the code before (the records were gone 2.5 s after the former owner was killed) and passes now, as do all pool_* tests of test_error and test_correctness. Not covered: records that others than owners delete.

--- a/src/pool/PoolOwnerPass.cpp
+++ b/src/pool/PoolOwnerPass.cpp
@@ -424,6 +424,10 @@
       continue;
     std::string Name = jobName(Entry->first);
     Transaction Changes;
+    // A removal that arrives after a takeover would take a job from a successor
+    // that still holds it.
+    Changes.Conditions.push_back(
+        {std::string(OwnerKey), StoreRevision(Token.value())});
     // The caller may have resubmitted the job and replaced the refusal mark.
     if (StoreRevision Mark = KnownJobs.refusalRevision(Entry->first);
         Mark != StoreRevision())
--- a/test/error/pool_relisted_jobs.cpp
+++ b/test/error/pool_relisted_jobs.cpp
@@ -9,6 +9,7 @@
 
 #include <criterion/criterion.h>
 
+#include <algorithm>
 #include <string>
 
 using namespace banyanworks;
@@ -127,3 +128,30 @@
   cr_assert(Calls > 0);
   cr_assert(Jobs.findJob(Subject) == nullptr);
 }
+
+// The successor still held the job, and took a new submission of its id for it.
+Test(pool_relisted_jobs, removal_by_a_former_owner_arrives_after_a_takeover) {
+  PoolSimulation Simulation(1, 2, 1, PoolLimits(), shortRetention());
+  Simulation.runFor(2s);
+  Simulation.submit(0, Simulation.job(Subject.value(), 1, 1, false, 30s));
+  Simulation.runFor(500ms);
+  Simulation.cancel(0, Subject);
+  Simulation.runFor(2s);
+  std::size_t Former = *Simulation.owner();
+  StoreFaults &Faults = Simulation.daemon(Former).Store.Faults;
+  Faults.LostAnswerRate = 1.0;
+  Faults.LostWriteDelay = 3s;
+  auto RemovalSent = [&Simulation, Former] {
+    const auto &Lines = Simulation.daemon(Former).Log.lines();
+    return std::any_of(Lines.begin(), Lines.end(), [](const std::string &Line) {
+      return Line.find("job.removed") != std::string::npos;
+    });
+  };
+  for (int Step = 0; Step < 3000 && !RemovalSent(); ++Step)
+    Simulation.runFor(1ms);
+  cr_assert(RemovalSent());
+  Simulation.kill(Former);
+  Simulation.runFor(2500ms);
+  cr_assert(Simulation.owner().has_value());
+  cr_assert(isStored(Simulation));
+}
