Plan a failed reclaim again after the first report of a worker

Cause: a worker accepts tasks with its first report, as after a takeover, and ReclaimMemory was not told.

--- a/src/pool/PoolSchedulerReports.cpp
+++ b/src/pool/PoolSchedulerReports.cpp
@@ -7,6 +7,7 @@
 #include "pool/JobName.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace banyanworks::pool {
 
@@ -108,7 +109,8 @@
         LogLevel::Change, "worker.restarted",
         {{"worker", Id.str()}, {"life", Report.WorkerIncarnation.value()}});
   }
-  Worker.HasReported = true;
+  if (!std::exchange(Worker.HasReported, true))
+    Reclaims.roomFreed();
   Worker.WorkerIncarnation = Report.WorkerIncarnation;
   HealthCheckDue = HealthCheckDue || !Worker.Life.isCurrent();
   Worker.Life.reported(Report.WorkerIncarnation, SentAt);
--- a/test/correctness/pool_reclaim_memory.cpp
+++ b/test/correctness/pool_reclaim_memory.cpp
@@ -130,3 +130,37 @@
   cr_assert(Memory.beginPlan());
   cr_assert_eq(Memory.plans(), 3U);
 }
+
+// A worker is listed before it reports for the first time, as after a takeover;
+// only the report lets its runs be preempted.
+Test(pool_reclaim_memory,
+     plans_again_once_a_worker_reports_for_the_first_time) {
+  ScriptedPool Earlier;
+  Earlier.list(WorkerId("w1"));
+  Earlier.report(WorkerId("w1"));
+  Earlier.submit(1, ScriptedPool::WholeWorker);
+  Earlier.pass();
+  std::vector<JobChange> Changes = Earlier.Scheduler.changes(100);
+  cr_assert_eq(Changes.size(), 1U);
+  Earlier.Scheduler.committed(Changes, Earlier.Now);
+  std::vector<StartOrder> Running = Earlier.pass().Starts;
+  cr_assert_eq(Running.size(), 1U);
+
+  ScriptedPool Pool;
+  Pool.list(WorkerId("w1"));
+  Pool.list(WorkerId("w2"), HalfWorker);
+  Pool.report(WorkerId("w2"));
+  pool::JobSpec Batch = Pool.job(1, ScriptedPool::WholeWorker);
+  Pool.Scheduler.restore(Batch, JobStatus::Running,
+                         *JobProgress::decode(Batch, Changes.front().Progress),
+                         Pool.Now);
+  Pool.submit(3, ScriptedPool::WholeWorker, "urgent");
+  Pool.pass();
+  cr_assert_eq(Pool.Scheduler.reclaimPlans(), 1U);
+  Pool.Now += 10ms;
+  Pool.report(WorkerId("w1"), Running);
+  Pool.Now += Pool.Limits.Reclaims.Retry;
+  Pool.pass();
+  cr_assert_eq(Pool.Scheduler.reclaimPlans(), 2U);
+  cr_assert_eq(Pool.Log.count("job.reclaims"), 1U);
+}
