--- a/src/edge/EventLoop.h
+++ b/src/edge/EventLoop.h
@@ -46,16 +46,17 @@
   Duration takeLongestTurn();
 
 private:
-  void runTimers();
-
-  int EpollDescriptor;
-  bool Running = true;
-  Duration LongestTurn{};
   struct WatchedDescriptor {
     /// Distinguishes descriptors that have used the same number.
     std::uint32_t Number = 0;
     Handler OnReady;
   };
+
+  void runTimers();
+
+  int EpollDescriptor;
+  bool Running = true;
+  Duration LongestTurn{};
   std::uint32_t LastWatch = 0;
   std::unordered_map<int, WatchedDescriptor> Handlers;
   std::multimap<TimePoint, std::function<void()>> PendingTimers;
