Count log lines in tests with RecordingLog::count()

The assertions are the same: no line where none was expected, and the same numbers of losses and stops.

--- a/test/correctness/pool_reclaim_waits.cpp
+++ b/test/correctness/pool_reclaim_waits.cpp
@@ -78,17 +78,22 @@
     Gang.Steps[0].Gang = true;
     Scheduler.submit(Gang, JobStatus::Queued);
   }
+
+  /// Submits a gang that waits for two runs, which are forecast to end.
+  void letGangWait() {
+    Percents[WorkerId("w1")] = Percents[WorkerId("w2")] = 96;
+    Percents[WorkerId("w3")] = Percents[WorkerId("w4")] = 60;
+    reportAll();
+    submitGang(10, 2);
+    cr_assert(pass().Stops.empty());
+  }
 };
 
 } // namespace
 
 Test(pool_reclaim_waits, second_plan_stops_runs_rather_than_wait_for_others) {
   BusyPool Pool;
-  Pool.Percents[WorkerId("w1")] = Pool.Percents[WorkerId("w2")] = 96;
-  Pool.Percents[WorkerId("w3")] = Pool.Percents[WorkerId("w4")] = 60;
-  Pool.reportAll();
-  Pool.submitGang(10, 2);
-  cr_assert(Pool.pass().Stops.empty());
+  Pool.letGangWait();
   cr_assert_eq(Pool.Log.count("job.reclaims"), 1U);
   Pool.Now += Pool.Limits.ReclaimTime;
   Pool.Percents[WorkerId("w3")] = Pool.Percents[WorkerId("w4")] = 96;
@@ -98,11 +103,7 @@
 
 Test(pool_reclaim_waits, cleared_worker_is_kept_until_the_second_plan) {
   BusyPool Pool;
-  Pool.Percents[WorkerId("w1")] = Pool.Percents[WorkerId("w2")] = 96;
-  Pool.Percents[WorkerId("w3")] = Pool.Percents[WorkerId("w4")] = 60;
-  Pool.reportAll();
-  Pool.submitGang(10, 2);
-  cr_assert(Pool.pass().Stops.empty());
+  Pool.letGangWait();
   Pool.Now += 500ms;
   Pool.reportAll();
   Pool.end(WorkerId("w2"));
--- a/test/error/pool_relisted_jobs.cpp
+++ b/test/error/pool_relisted_jobs.cpp
@@ -9,7 +9,6 @@
 
 #include <criterion/criterion.h>
 
-#include <algorithm>
 #include <string>
 
 using namespace banyanworks;
@@ -142,10 +141,7 @@
   Faults.LostAnswerRate = 1.0;
   Faults.LostWriteDelay = 3s;
   auto RemovalSent = [&Simulation, Former] {
-    const auto &Lines = Simulation.daemon(Former).Log.lines();
-    return std::any_of(Lines.begin(), Lines.end(), [](const std::string &Line) {
-      return Line.find("job.removed") != std::string::npos;
-    });
+    return Simulation.daemon(Former).Log.count("job.removed") > 0;
   };
   for (int Step = 0; Step < 3000 && !RemovalSent(); ++Step)
     Simulation.runFor(1ms);
--- a/test/error/pool_repeated_stops.cpp
+++ b/test/error/pool_repeated_stops.cpp
@@ -5,8 +5,6 @@
 
 #include <criterion/criterion.h>
 
-#include <algorithm>
-
 using namespace banyanworks;
 using namespace banyanworks::testing;
 using namespace banyanworks::pool;
@@ -49,12 +47,7 @@
   }
 
   /// Number of workers that are counted as lost under the task.
-  std::ptrdiff_t losses() const {
-    return std::count_if(
-        Log.lines().begin(), Log.lines().end(), [](const std::string &Line) {
-          return Line.find("task.lost_worker") != std::string::npos;
-        });
-  }
+  std::size_t losses() const { return Log.count("task.lost_worker"); }
 
   /// Expects a stop order in the next pass, which the worker confirms.
   void expectStop() {
@@ -120,11 +113,11 @@
   Run.Scheduler.startAnswered(Run.Start, OrderResult::NoAnswer, Run.Now);
   Run.Now += Run.Limits.OrderRetry;
   Run.reportAs(SecondLife, false);
-  cr_assert_eq(Run.losses(), 1);
+  cr_assert_eq(Run.losses(), 1U);
   cr_assert_eq(Run.pass().Stops.size(), 1U);
   Run.Now += 6s;
   Run.Scheduler.leasesExpired(Holder, Run.Now);
-  cr_assert_eq(Run.losses(), 1);
+  cr_assert_eq(Run.losses(), 1U);
 }
 
 // The restarted worker carries the order out, and is lost as well.
@@ -136,5 +129,5 @@
   Run.reportAs(SecondLife, true);
   Run.Now += 6s;
   Run.Scheduler.leasesExpired(Holder, Run.Now);
-  cr_assert_eq(Run.losses(), 2);
+  cr_assert_eq(Run.losses(), 2U);
 }
--- a/test/error/pool_restarted_workers.cpp
+++ b/test/error/pool_restarted_workers.cpp
@@ -8,8 +8,6 @@
 
 #include <criterion/criterion.h>
 
-#include <algorithm>
-
 using namespace banyanworks;
 using namespace banyanworks::testing;
 using namespace banyanworks::pool;
@@ -145,13 +143,6 @@
     Start = Orders.front();
   }
 
-  bool hasLogged(const char *Event) const {
-    return std::any_of(Log.lines().begin(), Log.lines().end(),
-                       [Event](const std::string &Line) {
-                         return Line.find(Event) != std::string::npos;
-                       });
-  }
-
   /// The start order gets no answer, and the worker does not list the run.
   void loseOrder() {
     Scheduler.startAnswered(Start, OrderResult::NoAnswer, Now);
@@ -168,7 +159,7 @@
   Pool.submit(Task.Job.value(), {1000, 1024, 1});
   Pool.startTask();
   Pool.loseOrder();
-  cr_assert_not(Pool.hasLogged("task.lost_worker"));
+  cr_assert_eq(Pool.Log.count("task.lost_worker"), 0U);
   cr_assert_eq(Pool.pass().Starts.size(), 1U);
 }
 
@@ -181,7 +172,7 @@
   Pool.commit();
   Pool.startTask();
   Pool.loseOrder();
-  cr_assert_not(Pool.hasLogged("task.lost_worker"));
+  cr_assert_eq(Pool.Log.count("task.lost_worker"), 0U);
   cr_assert_eq(Pool.pass().Starts.size(), 1U);
 }
 
@@ -197,6 +188,6 @@
   Pool.Scheduler.stopAnswered(Stops.front(), OrderResult::Done, Pool.Now);
   Pool.Now += Pool.Limits.OrderRetry;
   Pool.report(Pool.Holder, {Pool.Start}, RestartBeforeStart::SecondLife);
-  cr_assert_not(Pool.hasLogged("run.outlasts_stop"));
+  cr_assert_eq(Pool.Log.count("run.outlasts_stop"), 0U);
   cr_assert(Pool.pass().Stops.empty());
 }
