--- a/review/lib-2/rig.py
+++ b/review/lib-2/rig.py
@@ -4,6 +4,7 @@
 daemon reaches the store through a proxy of its own. The settings are those that
 deploy/node.conf.template gives on a small deployment (hanbit-ops).
 """
+import base64
 import http.client
 import json
 import os
@@ -50,7 +51,8 @@
             f'ready-listen="127.0.0.1:{self.ready}"\n'
             f'metrics-listen="127.0.0.1:{self.metrics}"\n'
             f'store="127.0.0.1:{self.proxy.port}"\nadviser=""\n'
-            'host-control=""\ndescriptors=4100\ncpu-share=0.25\n'
+            f'host-control="{rig.host_control}"\n'
+            "descriptors=4100\ncpu-share=0.25\n"
             "grace-period-s=6\nlongest-lease-ms=6000\nstop-time-ms=900\n"
             'checkpoint-interval-s="0.5"\nrestore-ms="100"\n'
             "gang-wait-ms=3000\nrevocation-limit-ms=5000\n"
@@ -113,6 +115,7 @@
         self.pool = ExecutorPool(self.store, self.task_plan)
         self.daemons = []
         self.version = 0
+        self.host_control = ""
 
     def task_plan(self, task):
         return self.work[task.split(".")[0]]
@@ -155,6 +158,12 @@
                   "acknowledged")
         return self.now()
 
+    def owner(self):
+        """The daemon that the store lists as the owner; None without one."""
+        item = self.store.items.get("banyanworks/shared/owner")
+        name = base64.b64decode(item["value"]).decode() if item else ""
+        return next((d for d in self.daemons if d.name == name), None)
+
     def wait(self, what, seconds, check):
         end = time.monotonic() + seconds
         while not check():
