--- a/review/lib-2/machines.py
+++ b/review/lib-2/machines.py
@@ -3,8 +3,10 @@
 One executor lives on each machine. An upkeep ends it and all that it runs; a
 new executor joins after MAINTENANCE_S. Fences are checked for each machine.
 """
+import json
 import random
 import threading
+import time
 
 from executor_standin import Executor
 from store_standin import JsonHandler, serve
@@ -38,6 +40,8 @@
     def __init__(self, rig, count):
         self.rig, self.lock = rig, threading.RLock()
         self.caps, self.over_cap = {}, []
+        # Delay of the next upkeep call, which gets no answer; None: no delay.
+        self.late_s, self.late_holder = None, None
         self.machines = {}
         for number in range(count):
             machine = Machine(self, number)
@@ -50,14 +54,28 @@
                     if path == "/machines":
                         return 200, {"machines": [m.row() for m in
                                                   cloud.machines.values()]}
-                    if path == "/machine-upkeep":
-                        return cloud.upkeep(body,
-                                            self.headers.get("Duty-Holder"),
-                                            int(self.headers["Fencing-Token"]))
-                    return 404, {}
+                    if path != "/machine-upkeep":
+                        return 404, {}
+                    order = (body, self.headers.get("Duty-Holder"),
+                             int(self.headers["Fencing-Token"]))
+                    if cloud.late_s is None:
+                        return cloud.upkeep(*order)
+                    delay, cloud.late_s = cloud.late_s, None
+                cloud.rig.note(f"machines: upkeep of {body['machine']} by "
+                               f"{order[1]} with token {order[2]}: no answer, "
+                               f"carried out {delay} s later")
+                cloud.late_holder = order[1]
+                threading.Timer(delay, cloud.upkeep_late, order).start()
+                time.sleep(5.0)
+                return 503, {}
 
         _, self.port = serve(Handler)
 
+    def upkeep_late(self, *order):
+        with self.lock:
+            status, _ = self.upkeep(*order)
+            self.rig.note(f"machines: the late order is carried out: {status}")
+
     def upkeep(self, body, holder, token):
         machine, wave = self.machines.get(body["machine"]), body["wave"]
         if machine is None:
@@ -92,7 +110,6 @@
                           f"{machine.executor.name}")
 
     def ask(self, wave, cap, duration_s):
-        import json
         self.caps[wave] = cap
         self.rig.store.put(f"op/wave/{wave}", json.dumps(
             {"wave": wave, "machines": sorted(self.machines),
