--- a/review/lib-2/rig.py
+++ b/review/lib-2/rig.py
@@ -50,13 +50,14 @@
             f'listen="127.0.0.1:{self.listen}"\n'
             f'ready-listen="127.0.0.1:{self.ready}"\n'
             f'metrics-listen="127.0.0.1:{self.metrics}"\n'
-            f'store="127.0.0.1:{self.proxy.port}"\nadviser=""\n'
+            f'store="127.0.0.1:{self.proxy.port}"\n'
+            f'adviser="{rig.adviser}"\n'
             f'host-control="{rig.host_control}"\n'
             "descriptors=4100\ncpu-share=0.25\n"
             "grace-period-s=6\nlongest-lease-ms=6000\nstop-time-ms=900\n"
             'checkpoint-interval-s="0.5"\nrestore-ms="100"\n'
             "gang-wait-ms=3000\nrevocation-limit-ms=5000\n"
-            'configuration-limit-ms="2000"\nkeep-final-s=120\n'
+            f'configuration-limit-ms="2000"\nkeep-final-s={rig.keep_final_s}\n'
             'cap-overage=""\n')
         self.process = None
         self.start()
@@ -115,7 +116,7 @@
         self.pool = ExecutorPool(self.store, self.task_plan)
         self.daemons = []
         self.version = 0
-        self.host_control = ""
+        self.host_control, self.adviser, self.keep_final_s = "", "", 120
 
     def task_plan(self, task):
         return self.work[task.split(".")[0]]
@@ -140,12 +141,13 @@
         self.wait("all daemons are ready", 15.0,
                   lambda: all(d.is_ready() for d in self.daemons))
 
-    def publish(self, keys):
-        """Writes a configuration; returns the time of its acknowledgement."""
+    def publish(self, keys, **queue):
+        """Writes a configuration, whose queue has the fields of queue too;
+        returns the time of its acknowledgement."""
         self.version += 1
         route = {"host": HOST, "kind": "unsafe", "timeoutMs": 3000,
                  "targetLatencyMs": 1000, "service": "service",
-                 "maxAttempts": 3, "stretch": 3.0, "public": False}
+                 "maxAttempts": 3, "stretch": 3.0, "public": False, **queue}
         self.store.put("op/config", json.dumps({
             "version": self.version,
             "routes": [dict(route, name="urgent", prefix="/urgent/",
