Make the two owners of review/7 choose different machines

The job's tasks need the label of one rack, so that the successor has work on the machines that the stale owner takes next.

--- a/review/7/case.py
+++ b/review/7/case.py
@@ -36,9 +36,9 @@
     rig.work[job] = (WORK_S, 0, 8)
     status, _ = other.call("POST", f"/urgent/{job}", {
         "specification": "work", "steps": [
-            {"count": 8, "cpu": 32000, "memoryLimitMb": 1024, "gpu": 8,
-             "estimatedMs": int(WORK_S * 1000)}]})
-    rig.note(f"client: POST /urgent/{job}, 8 tasks, at {other.name}: {status}")
+            {"count": 3, "cpu": 32000, "memoryLimitMb": 1024, "gpu": 8,
+             "estimatedMs": int(WORK_S * 1000), "requirements": "r0"}]})
+    rig.note(f"client: POST /urgent/{job}, 3 tasks, at {other.name}: {status}")
     if TROUBLE:
         time.sleep(max(0.0, cut_at + TURNED_AWAY_S - time.monotonic()))
         stale.proxy.mode = "pass"
