--- a/review/7/case.py
+++ b/review/7/case.py
@@ -8,7 +8,7 @@
 from rig import Broken, TROUBLE, run  # noqa: E402
 from machines import Machines  # noqa: E402
 
-TURNED_AWAY_S = 9.0
+TURNED_AWAY_S = 7.0
 WORK_S = 25.0
 
 
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -15,7 +15,7 @@
 def play(rig):
     rig.add_executors(6)
     rig.publish(["key-a", "key-b"])
-    rig.add_daemons(3)
+    rig.add_daemons(7)
     victim = rig.daemons[0]
     for daemon in rig.daemons:
         status, _ = daemon.call("GET", "/urgent/", key="key-b")
