--- a/review/13/case.py
+++ b/review/13/case.py
@@ -7,7 +7,7 @@
 from standins import KEY, TROUBLE, Executor, main  # noqa: E402
 
 LARGE = "00000000000000cc"
-TASKS = 25000 if TROUBLE else 250
+TASKS = 30000 if TROUBLE else 300
 WORK_S = 15.0
 
 
@@ -54,7 +54,7 @@
 
 def job(count, gpu, work_s):
     return {"specification": "text", "steps": [
-        {"count": count, "cpu": 10, "memoryLimitMb": 10, "gpu": gpu,
+        {"count": count, "cpu": 8, "memoryLimitMb": 10, "gpu": gpu,
          "estimatedMs": int(work_s * 1000), "checkpointing": True}]}
 
 
