Do not count an order that did nothing as a crash under its task

Cause: the answers to a start order were kept as two kinds, not as three. A call of which nothing was sent counted as one without an answer, and a refused order (421) left the run Ordered, so that recordLosses() counted it, with an unknown age, once the worker was replaced. Three of these convict a task. The log of the case shows the three losses, each after an order with result=no_answer to a closed port.

StartEvidence keeps what the answers show. A run that cannot have started is neither lost with its worker nor stopped there; its task is placed again at once. Orders that find their worker gone show an outage, too. Unanswered orders still convict.

--- a/src/pool/JobProgress.cpp
+++ b/src/pool/JobProgress.cpp
@@ -82,7 +82,7 @@
     Rows.push_back({GroupIndex, Loss.Member, Loss.Worker.str(), Loss.Address,
                     Loss.Life.value(), static_cast<int>(Loss.Age),
                     Loss.OnlyStart, Loss.InOutage, Loss.Proven,
-                    Loss.Run.value()});
+                    Loss.Run.value(), /*MayHaveStarted=*/true});
   }
 }
 
@@ -165,9 +165,15 @@
         throw std::invalid_argument(
             "active task group does not list a worker for each member");
     }
-    for (const json &Row : Record.value("losses", json::array()))
+    for (const json &Row : Record.value("losses", json::array())) {
+      WorkerLoss Loss = decodeLoss(Row);
+      // Earlier versions also recorded runs whose orders had done nothing.
+      bool MayHaveStarted = Row.size() > 10 && Row.at(10).get<bool>();
+      if (Loss.Age == LossAge::Unknown && !MayHaveStarted)
+        continue;
       Result.Groups.at(Row.at(0).get<std::size_t>())
-          .Crashes.add(decodeLoss(Row));
+          .Crashes.add(std::move(Loss));
+    }
     for (const json &Row : Record.value("lives", json::array())) {
       TaskGroup &Group = Result.Groups.at(Row.at(0).get<std::size_t>());
       for (std::size_t Column = 1; Column < Row.size(); ++Column)
--- a/src/pool/OutageDetector.h
+++ b/src/pool/OutageDetector.h
@@ -13,7 +13,7 @@
 
 /// In an outage, tasks that have just started are lost by chance. It shows by
 /// workers that fall silent while they hold work, none of which has just
-/// started there.
+/// started there, and by those that are gone before a start order.
 class OutageDetector {
 public:
   /// Span within which the losses of one outage become known: a worker without
@@ -22,7 +22,7 @@
   /// Share of all workers that have to be lost in an outage, one at least.
   static constexpr double MinShare = 0.01;
 
-  /// Records that a worker fell silent that held such work only.
+  /// Records that a worker fell silent on which nothing had just started.
   void workerSilent(TimePoint At);
   /// Whether an outage was under way at \p At; \p Workers is the number of all
   /// workers.
--- a/src/pool/PoolScheduler.cpp
+++ b/src/pool/PoolScheduler.cpp
@@ -144,6 +144,7 @@
       PlacedRun Run = runOfStep(Added, Spec.Steps[Group.Step]);
       Run.Phase = RunPhase::Inherited;
       Run.Inherited = true;
+      Run.Evidence.assumeStarted();
       if (Member < Group.Lives.size())
         Run.Life = Group.Lives[Member];
       if (Spec.Steps[Group.Step].FillsIdle)
@@ -249,7 +250,7 @@
                {"run", Group.Run.value()},
                {"worker", Worker.Info.Id.str()},
                {"reason", Reason}});
-    if (Run->second.Phase == RunPhase::Planned) {
+    if (!Run->second.Evidence.mayHaveStarted()) {
       removeRun(Worker, Run);
       continue;
     }
--- a/src/pool/PoolScheduler.h
+++ b/src/pool/PoolScheduler.h
@@ -412,7 +412,15 @@
   /// order to an earlier incarnation counts as a run that was lost with it.
   void removeUnreportedRuns(WorkerState &Worker, const WorkerReport &Report,
                             TimePoint SentAt, TimePoint Now);
-  /// Handles the end of all runs for which the worker has received an order.
+  /// Removes a run that is to be stopped and is known not to have started.
+  void removeIfNotStarted(WorkerState &Worker, const RunKey &Key);
+  /// Handles a worker that does not answer, or whose address another one uses.
+  /// \p BeforeOrder is true if a start order has found that.
+  void workerUnreachable(WorkerState &Worker, bool BeforeOrder, TimePoint Now);
+  /// Handles an answer of another incarnation at the worker's address.
+  void workerReplaced(WorkerState &Worker, TimePoint Now);
+  /// Handles the end of all runs for which the worker may have received an
+  /// order; a run whose start order is about to be answered is kept until then.
   void loseAllRuns(WorkerState &Worker, LossCause Cause, TimePoint Now);
   /// Removes runs that ended without a reported end.
   void removeLostRuns(WorkerState &Worker, const std::vector<RunKey> &Lost,
@@ -429,8 +437,9 @@
   /// Records whether a worker that was lost without proof has crashed.
   void settleLosses(const SilentWorker &Lost, bool Crashed,
                     std::string_view Evidence, TimePoint Now);
-  /// Handles a worker that has become unresponsive.
-  void workerSilent(WorkerState &Worker, TimePoint Now);
+  /// Handles a worker that has become unresponsive. One that was gone before a
+  /// start order has not been crashed by that order, and shows an outage.
+  void workerSilent(WorkerState &Worker, bool BeforeOrder, TimePoint Now);
   /// Settles the loss of a worker that has answered.
   void settleAnswered(const WorkerId &Id, Incarnation Life, TimePoint Now);
   static CrashVerdict crashVerdict(const Job &Owner, const TaskGroup &Group,
--- a/src/pool/PoolSchedulerCrashes.cpp
+++ b/src/pool/PoolSchedulerCrashes.cpp
@@ -7,12 +7,17 @@
 #include "pool/JobName.h"
 
 #include <algorithm>
+#include <optional>
 
 namespace banyanworks::pool {
 
 namespace {
 
-LossAge ageAtLoss(const PlacedRun &Run) {
+/// The age that counts if the worker is lost; nothing if the run is known not
+/// to have started there.
+std::optional<LossAge> ageAtLoss(const PlacedRun &Run) {
+  if (!Run.Evidence.mayHaveStarted())
+    return std::nullopt;
   if (Run.FirstPercent &&
       Run.ReportedAt - Run.ConfirmedAt >= CrashRecord::StartWindow)
     return LossAge::Later;
@@ -68,15 +73,21 @@
   return Group.Crashes.verdict(!Owner.Spec.Steps[Group.Step].LongRunning, Now);
 }
 
-void PoolScheduler::workerSilent(WorkerState &Worker, TimePoint Now) {
+void PoolScheduler::workerSilent(WorkerState &Worker, bool BeforeOrder,
+                                 TimePoint Now) {
   Worker.SilentSince = Now;
   // The answer to a start order may still be in transit, and a worker with
   // inherited runs may have been lost before the takeover.
-  bool HeldOldRunsOnly = std::all_of(
-      Worker.Runs.begin(), Worker.Runs.end(), [](const auto &Entry) {
-        return ageAtLoss(Entry.second) == LossAge::Later;
-      });
-  if (HeldOldRunsOnly && !Worker.Runs.empty())
+  bool LostOtherwise = BeforeOrder;
+  for (const auto &Entry : Worker.Runs) {
+    auto Age = ageAtLoss(Entry.second);
+    if (!Age)
+      continue;
+    if (Age != LossAge::Later)
+      return;
+    LostOtherwise = true;
+  }
+  if (LostOtherwise)
     Outages.workerSilent(Now);
 }
 
@@ -95,6 +106,9 @@
       Starting.insert(findGroup(Key.first).Group);
   for (const RunKey &Key : Lost) {
     const PlacedRun &Run = Worker.Runs.at(Key);
+    auto Age = ageAtLoss(Run);
+    if (!Age)
+      continue;
     GroupRef Ref = findGroup(Key.first);
     if (!Ref.Group || Ref.Group->Run != Key.second ||
         Ref.Group->State != GroupState::Active || isFinal(Ref.Owner->Status))
@@ -111,7 +125,7 @@
     Loss.Worker = Worker.Info.Id;
     Loss.Address = Worker.Info.Address;
     Loss.Life = Run.Life;
-    Loss.Age = ageAtLoss(Run);
+    Loss.Age = *Age;
     Loss.OnlyStart = Loss.Age == LossAge::AtStart && Starting.size() == 1;
     Loss.InOutage = InOutage;
     Loss.Proven = Proven;
--- a/src/pool/PoolSchedulerOrders.cpp
+++ b/src/pool/PoolSchedulerOrders.cpp
@@ -82,6 +82,7 @@
         Run.Life = Worker.WorkerIncarnation;
       }
       Run.OrderInFlight = true;
+      Run.Evidence.ordered(Now);
       Orders.Starts.push_back({Id, Task, Current->first.second,
                                Ref.Owner->Spec.Program, Ref.Group->Checkpoint,
                                std::move(Ticket)});
@@ -141,15 +142,18 @@
 void PoolScheduler::abortIncompleteGangs(TimePoint Now) {
   for (const WorkerId &Id : WorkersWithPendingOrders) {
     WorkerState &Worker = Workers.at(Id);
-    for (auto At = Worker.Runs.begin(); At != Worker.Runs.end(); ++At) {
-      const PlacedRun &Run = At->second;
+    for (auto At = Worker.Runs.begin(); At != Worker.Runs.end();) {
+      auto Current = At++;
+      const PlacedRun &Run = Current->second;
       if (Run.Phase != RunPhase::Ordered || Run.StopRequested ||
           Now < Run.OrderedAt + Limits.GangStartTimeout)
         continue;
-      GroupRef Ref = findGroup(At->first.first);
+      GroupRef Ref = findGroup(Current->first.first);
       if (!Ref.Group || Ref.Group->Members == 1)
         continue;
       abort(*Ref.Owner, *Ref.Group, "gang_incomplete");
+      // The abort may have removed other runs of this worker.
+      break;
     }
   }
 }
--- a/src/pool/PoolSchedulerReports.cpp
+++ b/src/pool/PoolSchedulerReports.cpp
@@ -58,6 +58,8 @@
     return "malformed";
   case OrderResult::NoTicket:
     return "no_ticket";
+  case OrderResult::NotSent:
+    return "not_sent";
   case OrderResult::NoAnswer:
     return "no_answer";
   }
@@ -78,9 +80,7 @@
     return;
   }
   if (Report.Result == OrderResult::OtherIncarnation) {
-    // The incarnation that this entry names has ended, and its runs with it.
-    loseAllRuns(Worker, LossCause::Replaced, Now);
-    forgetSpeed(Worker);
+    workerReplaced(Worker, Now);
     return;
   }
   bool Answered = Report.Result == OrderResult::Done;
@@ -92,7 +92,7 @@
   }
   HealthCheckDue = HealthCheckDue || Worker.Unresponsive == Answered;
   if (!Answered && !Worker.Unresponsive)
-    workerSilent(Worker, Now);
+    workerSilent(Worker, /*BeforeOrder=*/false, Now);
   Worker.Unresponsive = !Answered;
   if (!Answered)
     return;
@@ -264,6 +264,7 @@
   }
   PlacedRun &Run = Found->second;
   Run.LossRecorded = false;
+  Run.Evidence.assumeStarted();
   if (Run.outlastsStop(Worker.WorkerIncarnation, SentAt, Limits.StopTime)) {
     Log.write(LogLevel::Notice, "run.outlasts_stop",
               {{"task", taskName(Reported.Task)},
@@ -413,17 +414,23 @@
 
 void PoolScheduler::loseAllRuns(WorkerState &Worker, LossCause Cause,
                                 TimePoint Now) {
-  if (!Worker.Unresponsive)
-    workerSilent(Worker, Now);
-  Worker.Unresponsive = true;
+  workerUnreachable(Worker, /*BeforeOrder=*/false, Now);
   HealthCheckDue = true;
   std::vector<RunKey> Lost;
-  for (const auto &[Key, Run] : Worker.Runs)
-    if (Run.Phase != RunPhase::Planned)
+  for (const auto &[Key, Run] : Worker.Runs) {
+    // The answer to a start order tells whether the run was lost.
+    if (Run.Phase != RunPhase::Planned && !Run.Evidence.isOpen(Now))
       Lost.push_back(Key);
+  }
   removeLostRuns(Worker, Lost, Cause, Now);
 }
 
+void PoolScheduler::workerReplaced(WorkerState &Worker, TimePoint Now) {
+  // The incarnation that this entry names has ended, and its runs with it.
+  loseAllRuns(Worker, LossCause::Replaced, Now);
+  forgetSpeed(Worker);
+}
+
 void PoolScheduler::leasesExpired(const WorkerId &Id, TimePoint Now) {
   auto Found = Workers.find(Id);
   if (Found != Workers.end())
@@ -450,6 +457,7 @@
   PlacedRun &Run = *Found;
   Run.OrderInFlight = false;
   Run.NextOrderAt = Now + Limits.OrderRetry;
+  Run.Evidence.answered(Result);
   Log.write(Result == OrderResult::Done ? LogLevel::Routine : LogLevel::Notice,
             "run.start",
             {{"task", taskName(Order.Task)},
@@ -478,6 +486,7 @@
   case OrderResult::Unhealthy:
   case OrderResult::OtherIncarnation:
   case OrderResult::Malformed:
+  case OrderResult::NotSent:
     Workers.at(Order.Worker).RefusedUntil = Now + Limits.RefusalPause;
     break;
   case OrderResult::NoTicket:
@@ -485,11 +494,33 @@
                       Order.Worker);
     break;
   }
-  // A duplicate of the order may still be in transit, so the run is stopped as
-  // if it had started.
+  // Unless all copies of the order are known to have done nothing, one may
+  // still be in transit, so the run is stopped as if it had started.
   GroupRef Ref = findGroup(Order.Task);
   if (Ref.Group && Ref.Group->Run == Order.Run)
     abort(*Ref.Owner, *Ref.Group, resultName(Result));
+  removeIfNotStarted(Workers.at(Order.Worker), {Order.Task, Order.Run});
+  if (Result == OrderResult::NotSent || Result == OrderResult::OtherIncarnation)
+    workerUnreachable(Workers.at(Order.Worker), /*BeforeOrder=*/true, Now);
+  if (Result == OrderResult::OtherIncarnation)
+    workerReplaced(Workers.at(Order.Worker), Now);
+}
+
+void PoolScheduler::removeIfNotStarted(WorkerState &Worker, const RunKey &Key) {
+  auto Found = Worker.Runs.find(Key);
+  if (Found != Worker.Runs.end() && Found->second.StopRequested &&
+      !Found->second.Evidence.mayHaveStarted())
+    removeRun(Worker, Found);
+}
+
+void PoolScheduler::workerUnreachable(WorkerState &Worker, bool BeforeOrder,
+                                      TimePoint Now) {
+  if (Worker.Unresponsive)
+    return;
+  workerSilent(Worker, BeforeOrder, Now);
+  Worker.Unresponsive = true;
+  HealthCheckDue = true;
+  Renewals.insert(Worker.Info.Id);
 }
 
 void PoolScheduler::stopAnswered(const StopOrder &Order, OrderResult Result,
--- a/src/pool/RunTable.h
+++ b/src/pool/RunTable.h
@@ -7,6 +7,7 @@
 #include "base/Ids.h"
 #include "base/Time.h"
 #include "base/Units.h"
+#include "pool/StartEvidence.h"
 #include "pool/TaskKey.h"
 #include "pool/WorkerTime.h"
 
@@ -52,6 +53,7 @@
   /// Earliest time of the next start or stop order.
   TimePoint NextOrderAt;
   bool OrderInFlight = false;
+  StartEvidence Evidence;
   /// When the last start order was known to get no answer.
   std::optional<TimePoint> UnansweredAt;
   /// The loss of the worker under the unanswered start order is recorded; unset
--- a/src/pool/WorkerOrders.h
+++ b/src/pool/WorkerOrders.h
@@ -63,10 +63,16 @@
   Malformed,
   /// The worker rejected the adviser's ticket; the order had no effect.
   NoTicket,
+  /// No byte of the order left this process, as with a closed port.
+  NotSent,
   /// No answer arrived; the order may have been or may yet be executed.
   NoAnswer,
 };
 
+/// Whether an order with this result was carried out, or may have been or yet
+/// be. A superseded start order was carried out earlier.
+bool mayHaveTakenEffect(OrderResult Result);
+
 /// The reason for which a run ended.
 enum class RunEnd : std::uint8_t {
   Done,
