Stop a run whose start order may still arrive at a restarted worker

Cause: the owner forgot that a copy of an order was on its way as soon as another copy was answered, the run ended, or it was stopped. The worker's own memory of these refuses the copy, and a restart under the same id clears it.

OrdersInTransit keeps each start order without an answer for the time in which it can arrive. When another incarnation of the worker reports, these runs are stopped there, and their tasks wait until that is confirmed. Workers for which such orders are on their way are renewed like those that hold runs, so that a restart is known in time.

--- a/src/pool/PoolOwnerPass.cpp
+++ b/src/pool/PoolOwnerPass.cpp
@@ -343,9 +343,9 @@
   if (Tracked.InFlight)
     return;
   bool MustAcknowledge = Tracked.AcknowledgedTo < State.Acknowledged;
-  bool Needed = MustAcknowledge || State.HoldsRuns || !State.HasReported ||
-                State.HasUnrecordedEnds || State.Unresponsive ||
-                Restarts.isDue(State.Worker->Id, Now);
+  bool Needed = MustAcknowledge || State.HoldsRuns || State.AwaitsLateOrders ||
+                !State.HasReported || State.HasUnrecordedEnds ||
+                State.Unresponsive || Restarts.isDue(State.Worker->Id, Now);
   if (Needed && (MustAcknowledge || Now >= Tracked.NotBefore))
     renewWorker(State, Tracked);
 }
@@ -362,7 +362,8 @@
   if (State.Unresponsive)
     Order.Timeout = Limits.UnresponsiveTimeout;
   // A worker with ends that cannot be acknowledged yet would answer at once.
-  if (State.HoldsRuns && !State.HasUnrecordedEnds && Order.ExtendLease)
+  bool IsFollowed = State.HoldsRuns || State.AwaitsLateOrders;
+  if (IsFollowed && !State.HasUnrecordedEnds && Order.ExtendLease)
     Order.MaxWait = Limits.RenewalWait;
   Tracked.InFlight = true;
   std::uint64_t CallTerm = Term;
@@ -400,12 +401,13 @@
       Tracked.AcknowledgedTo = 0;
     if (Answered && (State->HasUnrecordedEnds || Bounds.withholdsLease(Id)))
       Pause = Limits.RenewalWait;
-    else if (!Answered && State->HasReported && !State->HoldsRuns)
+    else if (!Answered && State->HasReported && !State->HoldsRuns &&
+             !State->AwaitsLateOrders)
       Pause = Limits.SilentWorkerInterval;
     Tracked.NotBefore = Now + Pause;
   }
-  if (!Answered || !Report.Ended.empty() || Scheduler->hasChanges() ||
-      Bounds.changed())
+  if (!Answered || !Report.Ended.empty() || Scheduler->takeStopsDue() ||
+      Scheduler->hasChanges() || Bounds.changed())
     schedulePass();
   if (!State)
     return;
--- a/src/pool/PoolScheduler.cpp
+++ b/src/pool/PoolScheduler.cpp
@@ -87,7 +87,7 @@
     return;
   Found->second.Listed = false;
   HealthCheckDue = true;
-  if (Found->second.Runs.empty()) {
+  if (Found->second.Runs.empty() && !InTransit.contains(Id)) {
     dropWorkerReferences(Id);
     Workers.erase(Found);
   }
@@ -391,11 +391,12 @@
   return Found == Workers.end() ? nullptr : &Found->second.Info;
 }
 
-RenewalState PoolScheduler::stateOf(const WorkerState &Worker) {
+RenewalState PoolScheduler::stateOf(const WorkerState &Worker) const {
   return {&Worker.Info,
           Worker.Unresponsive,
           Worker.HasReported,
           !Worker.Runs.empty(),
+          InTransit.contains(Worker.Info.Id),
           !Worker.UnrecordedEnds.empty(),
           Worker.Acknowledged};
 }
--- a/src/pool/PoolScheduler.h
+++ b/src/pool/PoolScheduler.h
@@ -10,6 +10,7 @@
 #include "pool/GangReservation.h"
 #include "pool/GuaranteeUse.h"
 #include "pool/JobProgress.h"
+#include "pool/OrdersInTransit.h"
 #include "pool/OutageDetector.h"
 #include "pool/PoolConfiguration.h"
 #include "pool/PoolLoad.h"
@@ -122,6 +123,9 @@
   bool HasReported = false;
   /// The worker may hold runs.
   bool HoldsRuns = false;
+  /// A start order may still arrive there that another incarnation than the one
+  /// it was sent to would carry out.
+  bool AwaitsLateOrders = false;
   /// The worker holds ends that are not recorded and may not be acknowledged
   /// yet.
   bool HasUnrecordedEnds = false;
@@ -202,6 +206,9 @@
   visitWorkers(const std::function<void(const RenewalState &)> &Visit) const;
   /// Returns and clears the set of workers whose renewal state has changed.
   std::set<WorkerId> takeRenewals() { return std::exchange(Renewals, {}); }
+  /// Returns and clears whether reports have shown runs that are to be stopped
+  /// at once.
+  bool takeStopsDue() { return std::exchange(StopsDue, false); }
   /// True once a worker has reported a higher fencing token than this owner's.
   bool fenced() const { return Fenced; }
   /// Computes the accepted work that waits and runs.
@@ -408,8 +415,9 @@
                                   TimePoint SentAt, TimePoint Now);
   /// Removes runs that the worker held before the report was requested, and
   /// that the report lists neither as running nor as ended. A truncated report
-  /// shows only that runs of an earlier incarnation are gone. An unanswered
-  /// order to an earlier incarnation counts as a run that was lost with it.
+  /// shows only that runs of an earlier incarnation are gone. A run whose order
+  /// may still arrive at the new incarnation counts as lost, but is kept until
+  /// it is stopped there.
   void removeUnreportedRuns(WorkerState &Worker, const WorkerReport &Report,
                             TimePoint SentAt, TimePoint Now);
   /// Removes a run that is to be stopped and is known not to have started.
@@ -419,6 +427,12 @@
   void workerUnreachable(WorkerState &Worker, bool BeforeOrder, TimePoint Now);
   /// Handles an answer of another incarnation at the worker's address.
   void workerReplaced(WorkerState &Worker, TimePoint Now);
+  /// Stops the runs whose orders may arrive at the worker's new incarnation and
+  /// that have ended on an earlier one.
+  void stopLateStarts(WorkerState &Worker, Incarnation Life);
+  /// Adds a run that the worker holds, or may start, although it is not to run;
+  /// it is stopped.
+  RunTable::iterator addStray(WorkerState &Worker, const RunKey &Key);
   /// Handles the end of all runs for which the worker may have received an
   /// order; a run whose start order is about to be answered is kept until then.
   void loseAllRuns(WorkerState &Worker, LossCause Cause, TimePoint Now);
@@ -604,7 +618,7 @@
   /// and no serving task that it could slow down.
   bool hasIdleCpuFor(const WorkerState &Worker,
                      const StepSpec &BestEffortStep) const;
-  static RenewalState stateOf(const WorkerState &Worker);
+  RenewalState stateOf(const WorkerState &Worker) const;
   /// Detects slow and failing workers.
   void updateSuspects(TimePoint Now);
   void evacuateSlow(TimePoint Now);
@@ -669,6 +683,7 @@
   WorkerSpeeds Speeds;
   TaskFailures Failures;
   SilentLosses Silent;
+  OrdersInTransit InTransit;
   OutageDetector Outages;
   /// Jobs with groups under which workers were lost.
   std::set<JobId> JobsWithLosses;
@@ -689,6 +704,8 @@
   std::vector<FailedRequest> FailedPlacements;
   ReclaimMemory Reclaims;
   ReclaimWaits Waits;
+  /// A report has shown runs that are to be stopped.
+  bool StopsDue = false;
   bool Fenced = false;
   bool DirectoryCurrent = true;
 };
--- a/src/pool/PoolSchedulerHealth.cpp
+++ b/src/pool/PoolSchedulerHealth.cpp
@@ -154,8 +154,8 @@
 void PoolScheduler::removeGoneWorkers() {
   std::erase_if(Workers, [this](const auto &Entry) {
     const auto &[Id, Worker] = Entry;
-    bool Unused =
-        !Worker.Listed && Worker.Runs.empty() && Worker.UnrecordedEnds.empty();
+    bool Unused = !Worker.Listed && Worker.Runs.empty() &&
+                  Worker.UnrecordedEnds.empty() && !InTransit.contains(Id);
     if (Unused)
       dropWorkerReferences(Id);
     return Unused;
--- a/src/pool/PoolSchedulerOrders.cpp
+++ b/src/pool/PoolSchedulerOrders.cpp
@@ -17,6 +17,7 @@
 }
 
 PoolOrders PoolScheduler::dueOrders(TimePoint Now) {
+  InTransit.expire(Now);
   PoolOrders Orders;
   orderStarts(Orders, Now);
   orderStops(Orders, Now);
@@ -79,10 +80,11 @@
       if (Run.Phase == RunPhase::Planned) {
         Run.Phase = RunPhase::Ordered;
         Run.OrderedAt = Now;
-        Run.Life = Worker.WorkerIncarnation;
       }
+      Run.Life = Worker.WorkerIncarnation;
       Run.OrderInFlight = true;
       Run.Evidence.ordered(Now);
+      InTransit.sent(Id, Current->first, Run.Life, Now);
       Orders.Starts.push_back({Id, Task, Current->first.second,
                                Ref.Owner->Spec.Program, Ref.Group->Checkpoint,
                                std::move(Ticket)});
--- a/src/pool/PoolSchedulerReports.cpp
+++ b/src/pool/PoolSchedulerReports.cpp
@@ -128,6 +128,7 @@
     WorstTail = std::max(
         WorstTail, updateRun(Worker, Reported, Report.MadeAt, SentAt, Now));
   removeUnreportedRuns(Worker, Report, SentAt, Now);
+  stopLateStarts(Worker, Report.WorkerIncarnation);
   throttleBestEffort(Worker, WorstTail, Now);
 }
 
@@ -245,18 +246,7 @@
   auto Found = Worker.Runs.find(Key);
   if (Found == Worker.Runs.end()) {
     // A start order that was given up has been executed.
-    PlacedRun Stray;
-    if (Ref.Group)
-      Stray = runOfStep(*Ref.Owner, Ref.Owner->Spec.Steps[Reported.Task.Step]);
-    else
-      Stray.Allocated = Worker.Info.Capacity;
-    Stray.StopRequested = true;
-    WorkersWithPendingOrders.insert(Worker.Info.Id);
-    Found = addRun(Worker, Key, Stray);
-    if (Ref.Group) {
-      ++Ref.Group->LiveRuns;
-      ++Ref.Owner->LiveRuns;
-    }
+    Found = addStray(Worker, Key);
     Log.write(LogLevel::Notice, "run.stray",
               {{"task", taskName(Reported.Task)},
                {"run", Reported.Run.value()},
@@ -309,6 +299,39 @@
   return Reported.TailMs / 1000.0 / toSeconds(Step->TailTarget);
 }
 
+RunTable::iterator PoolScheduler::addStray(WorkerState &Worker,
+                                           const RunKey &Key) {
+  GroupRef Ref = findGroup(Key.first);
+  PlacedRun Stray;
+  if (Ref.Group)
+    Stray = runOfStep(*Ref.Owner, Ref.Owner->Spec.Steps[Key.first.Step]);
+  else
+    Stray.Allocated = Worker.Info.Capacity;
+  Stray.Phase = RunPhase::Ordered;
+  Stray.Evidence.assumeStarted();
+  Stray.StopRequested = true;
+  StopsDue = true;
+  WorkersWithPendingOrders.insert(Worker.Info.Id);
+  if (Ref.Group) {
+    ++Ref.Group->LiveRuns;
+    ++Ref.Owner->LiveRuns;
+  }
+  return addRun(Worker, Key, Stray);
+}
+
+void PoolScheduler::stopLateStarts(WorkerState &Worker, Incarnation Life) {
+  for (const RunKey &Key : InTransit.takeUnknownTo(Worker.Info.Id, Life)) {
+    if (Worker.Runs.contains(Key))
+      continue;
+    addStray(Worker, Key)->second.Life = Life;
+    Log.write(LogLevel::Notice, "run.late_order",
+              {{"task", taskName(Key.first)},
+               {"run", Key.second.value()},
+               {"worker", Worker.Info.Id.str()},
+               {"life", Life.value()}});
+  }
+}
+
 void PoolScheduler::sampleSpeed(WorkerState &Worker, PlacedRun &Run,
                                 std::uint32_t Percent, WorkerTime MadeAt,
                                 TimePoint Now) {
@@ -350,8 +373,10 @@
     bool Restarted = Run.isOfEarlierLife(Report.WorkerIncarnation);
     if (Running.contains(Key))
       continue;
-    // A stop that an earlier incarnation has confirmed does not bind this one.
-    if (Restarted && Run.isUnanswered()) {
+    // What an earlier incarnation has confirmed, the start or the stop, does
+    // not bind this one.
+    if (Restarted && InTransit.contains(Worker.Info.Id, Key) &&
+        !Run.Evidence.isOpen(Now)) {
       OrderedOfEarlierLife.push_back(Key);
       continue;
     }
@@ -364,14 +389,13 @@
   }
   removeLostRuns(Worker, Unreported, LossCause::NotReported, Now);
   removeLostRuns(Worker, OfEarlierLife, LossCause::Restarted, Now);
-  // The order may still be carried out by the new incarnation, so the run is
-  // stopped as if it had started.
+  // A copy of the order may still be carried out by the new incarnation, so the
+  // run is stopped as if it had started.
   recordLosses(Worker, OrderedOfEarlierLife, LossCause::Restarted, Now);
   for (const RunKey &Key : OrderedOfEarlierLife) {
     PlacedRun &Run = Worker.Runs.at(Key);
-    Run.UnansweredAt.reset();
-    Run.LossRecorded = true;
-    Run.repeatStop(Report.WorkerIncarnation);
+    Run.awaitStopOn(Report.WorkerIncarnation);
+    StopsDue = true;
     GroupRef Ref = findGroup(Key.first);
     if (Ref.Group && Ref.Group->Run == Key.second)
       abort(*Ref.Owner, *Ref.Group, causeName(LossCause::Restarted));
@@ -427,6 +451,7 @@
 
 void PoolScheduler::workerReplaced(WorkerState &Worker, TimePoint Now) {
   // The incarnation that this entry names has ended, and its runs with it.
+  InTransit.forget(Worker.Info.Id);
   loseAllRuns(Worker, LossCause::Replaced, Now);
   forgetSpeed(Worker);
 }
@@ -451,6 +476,7 @@
 
 void PoolScheduler::startAnswered(const StartOrder &Order, OrderResult Result,
                                   TimePoint Now) {
+  InTransit.answered(Order.Worker, {Order.Task, Order.Run}, Result, Now);
   PlacedRun *Found = runOfOrder(Order.Worker, Order.Task, Order.Run, Result);
   if (!Found)
     return;
--- a/src/pool/RestartWatch.h
+++ b/src/pool/RestartWatch.h
@@ -6,6 +6,7 @@
 
 #include "base/Ids.h"
 #include "base/Time.h"
+#include "pool/WorkerLink.h"
 
 #include <optional>
 #include <unordered_map>
@@ -19,7 +20,7 @@
 class RestartWatch {
 public:
   /// Longest time for which an order is on the way.
-  static constexpr Duration LongestDelay = std::chrono::seconds(12);
+  static constexpr Duration LongestDelay = LongestOrderDelay;
   /// Interval between the reports that a watched worker is asked for: what it
   /// started in between has to be stopped within a few seconds.
   static constexpr Duration AskInterval = std::chrono::seconds(1);
--- a/src/pool/RunTable.h
+++ b/src/pool/RunTable.h
@@ -102,6 +102,14 @@
     return StopConfirmedAt && (isOfEarlierLife(Reported) ||
                                RequestedAt > *StopConfirmedAt + StopTime);
   }
+  /// Keeps the run, which was lost with an earlier incarnation, until it is
+  /// stopped on the incarnation \p Current.
+  void awaitStopOn(Incarnation Current) {
+    Phase = RunPhase::Ordered;
+    UnansweredAt.reset();
+    LossRecorded = true;
+    repeatStop(Current);
+  }
   /// Makes a stop order due again, for the worker's incarnation \p Current.
   void repeatStop(Incarnation Current) {
     Life = Current;
--- a/src/pool/WorkerLink.h
+++ b/src/pool/WorkerLink.h
@@ -14,6 +14,9 @@
 /// Maximum relative rate by which a worker's clock may be slow, as specified
 /// by the platform.
 inline constexpr double WorkerClockError = 0.02;
+/// Longest time after which an order without an answer is carried out, as
+/// specified by the platform.
+inline constexpr Duration LongestOrderDelay = std::chrono::seconds(12);
 
 /// Renews the lease of all runs on a worker and requests a report of their
 /// state.
