Mark a job that is cancelled before it is accepted

Cause: the cancel of an unknown job read its record and wrote nothing, so that nothing stood against a submission that was still on its way.

The cancel now writes a mark in place of the job's record, under the condition that every submission has. It is attached to a lease that the marks of a daemon share, and limited in rate, so that cancels of ids that do not exist fill neither the store nor its rate. A later submission is rejected with job_cancelled by every daemon.

--- a/src/base/Reason.cpp
+++ b/src/base/Reason.cpp
@@ -28,6 +28,8 @@
                "The service declares no such kind of job."},
     ReasonInfo{UnknownJob, "unknown_job", 404, NotRun, false,
                "No such job is known."},
+    ReasonInfo{JobCancelled, "job_cancelled", 410, NotRun, false,
+               "The job was cancelled before it was accepted."},
     ReasonInfo{UnknownDomain, "unknown_domain", 404, NotRun, false,
                "No such failure domain is configured."},
     ReasonInfo{KeyRequired, "key_required", 400, NotRun, false,
--- a/src/base/Reason.h
+++ b/src/base/Reason.h
@@ -24,6 +24,7 @@
   UnknownMethod,
   UnknownJobKind,
   UnknownJob,
+  JobCancelled,
   UnknownDomain,
   KeyRequired,
   KeyReused,
--- a/src/pool/JobCache.cpp
+++ b/src/pool/JobCache.cpp
@@ -69,6 +69,13 @@
   return Found == RefusedJobs.end() ? StoreRevision() : Found->second;
 }
 
+std::optional<TimePoint> JobCache::cancelMarkedAt(JobId Id) const {
+  auto Found = CancelMarks.find(Id);
+  if (Found == CancelMarks.end())
+    return std::nullopt;
+  return Found->second;
+}
+
 std::vector<JobId> JobCache::refusedJobs() const {
   std::vector<JobId> Result;
   Result.reserve(RefusedJobs.size());
@@ -111,12 +118,17 @@
   }
   ChangedJobs.push_back(*Id);
   bool Refused = Changed && Changed->Value == RefusalMarker;
+  bool Marked = Changed && Changed->Value == CancelMark;
   Entry &Job = Jobs[*Id];
   if (Prefix == JobPrefix) {
     if (Refused)
       RefusedJobs[*Id] = Changed->Version;
     else
       RefusedJobs.erase(*Id);
+    if (Marked)
+      CancelMarks[*Id] = Clock.now();
+    else
+      CancelMarks.erase(*Id);
   }
   if (Prefix == CancelPrefix) {
     Job.Cancelled = Changed != nullptr;
@@ -127,7 +139,7 @@
     else
       Log.write(LogLevel::Notice, "record.ignored",
                 {{"key", Key}, {"reason", "unknown job status"}});
-  } else if (!Changed || Refused) {
+  } else if (!Changed || Refused || Marked) {
     endRecord(Job);
   } else if (auto Spec = decodeJobSpec(Changed->Value)) {
     // An earlier record of the id has been removed.
--- a/src/pool/JobCache.h
+++ b/src/pool/JobCache.h
@@ -50,6 +50,9 @@
   /// Returns the revision of a rejected job's refusal marker; the zero
   /// revision if there is none.
   StoreRevision refusalRevision(JobId Id) const;
+  /// Returns when this daemon has received the mark of a job that was cancelled
+  /// before it was accepted; nothing if there is no mark.
+  std::optional<TimePoint> cancelMarkedAt(JobId Id) const;
   /// Returns the jobs that have a refusal marker.
   std::vector<JobId> refusedJobs() const;
   /// Returns the load that the owner published last; null if it is outdated.
@@ -85,6 +88,8 @@
   DecisionLog &Log;
   std::map<JobId, Entry> Jobs;
   std::map<JobId, StoreRevision> RefusedJobs;
+  /// Jobs that were cancelled before they were accepted.
+  std::map<JobId, TimePoint> CancelMarks;
   std::optional<PoolLoad> Load;
   TimePoint LoadReceivedAt;
   std::map<StoreRevision, JobId> AcceptedSinceLoad;
--- a/src/pool/JobIntake.cpp
+++ b/src/pool/JobIntake.cpp
@@ -20,6 +20,7 @@
 struct JobIntake::PendingCreate {
   std::string Key;
   std::string Value;
+  StoreLeaseId Lease;
   /// Revision of the refusal marker that is replaced; zero if the job was not
   /// rejected before.
   StoreRevision ReplacedVersion;
@@ -37,6 +38,8 @@
   bool Uncertain = false;
   std::uint32_t CopiesInFlight = 0;
   std::uint32_t Attempts = 0;
+
+  bool marksCancel() const { return Value == CancelMark; }
 };
 
 struct JobIntake::StatusRequest {
@@ -96,6 +99,10 @@
     Done(Reason::None, Duration::zero());
     return;
   }
+  if (KnownJobs.cancelMarkedAt(Spec.Id)) {
+    Done(Reason::JobCancelled, Duration::zero());
+    return;
+  }
   auto Write = std::make_shared<PendingCreate>();
   Write->Key = std::string(JobPrefix) + jobName(Spec.Id);
   Write->ReplacedVersion = KnownJobs.refusalRevision(Spec.Id);
@@ -160,7 +167,7 @@
   Changes.Conditions.push_back({Write->Key, Write->ReplacedVersion});
   Changes.Puts.push_back({Write->Key,
                           Refuses ? std::string(RefusalMarker) : Write->Value,
-                          StoreLeaseId()});
+                          Write->Lease});
   ++Write->Attempts;
   ++Write->CopiesInFlight;
   Store.commit(Changes,
@@ -218,12 +225,19 @@
     if (RefusalSent) {
       RejectUnavailable();
     } else {
-      finishCreate(
-          *Write, Write->Value == RefusalMarker ? Write->Refusal : Reason::None,
-          Result.Version);
+      finishCreate(*Write,
+                   Write->Value == RefusalMarker || Write->marksCancel()
+                       ? Write->Refusal
+                       : Reason::None,
+                   Result.Version);
     }
     return;
   case CallStatus::Rejected: {
+    if (Result.LeaseGone) {
+      Marks.leaseGone(Write->Lease);
+      RejectUnavailable();
+      return;
+    }
     auto Found = std::find_if(Result.Current.begin(), Result.Current.end(),
                               [&Write](const StoreEntry &Entry) {
                                 return Entry.Key == Write->Key &&
@@ -238,6 +252,22 @@
       }
       return;
     }
+    bool IsMark = Found != Result.Current.end() && Found->Value == CancelMark;
+    if (Write->marksCancel() && Found != Result.Current.end() &&
+        (IsMark || Found->Value == RefusalMarker)) {
+      // A refused job may be handed in again, and an earlier mark may expire
+      // too soon; both are replaced.
+      if (Write->ReplacedVersion == ReplacedVersion) {
+        Write->ReplacedVersion = Found->Version;
+        create(Write);
+      }
+      return;
+    }
+    if (IsMark) {
+      Write->RetryAfter = Duration::zero();
+      finishCreate(*Write, Reason::JobCancelled, Result.Version);
+      return;
+    }
     // The key exists: the job was accepted earlier, or it was rejected by
     // another daemon or by an earlier copy of this refusal marker.
     if (Found != Result.Current.end() && Found->Value == RefusalMarker) {
@@ -274,24 +304,85 @@
     Done(Reason::None);
     return;
   }
-  bool MustLookUp = !KnownJob || !KnownJob->Spec;
-  auto Write = [this, Id, Deadline, MustLookUp, Done] {
-    if (!MustLookUp) {
+  bool Known = KnownJob && KnownJob->Spec;
+  auto Write = [this, Id, Deadline, Known, Done] {
+    if (Known)
       writeCancel(Id, Deadline, Done);
-      return;
-    }
-    lookUpInStore(Id, [this, Id, Deadline, Done](Reason Outcome) {
-      if (Outcome != Reason::None)
-        Done(Outcome);
-      else
-        writeCancel(Id, Deadline, Done);
-    });
+    else
+      cancelUnknown(Id, Deadline, Done);
   };
   unlessUnavailable(Id, Write, [Done = std::move(Done)](Duration) {
     Done(Reason::StoreUnavailable);
   });
 }
 
+void JobIntake::cancelUnknown(JobId Id, TimePoint Deadline, Callback Done) {
+  TimePoint Now = Clock.now();
+  if (auto MarkedAt = KnownJobs.cancelMarkedAt(Id);
+      MarkedAt && Now - *MarkedAt < CancelMarks::RepeatTime) {
+    Done(Reason::UnknownJob);
+    return;
+  }
+  if (!Marks.admit(Now)) {
+    lookUpInStore(Id, [this, Id, Deadline, Done](Reason Outcome) {
+      if (Outcome == Reason::None)
+        writeCancel(Id, Deadline, Done);
+      else
+        Done(Outcome == Reason::UnknownJob ? Reason::RateLimited : Outcome);
+    });
+    return;
+  }
+  withMarkLease([this, Id, Deadline,
+                 Done = std::move(Done)](std::optional<StoreLeaseId> Lease) {
+    if (Lease)
+      writeCancelMark(Id, *Lease, Deadline, Done);
+    else
+      Done(Reason::StoreUnavailable);
+  });
+}
+
+void JobIntake::withMarkLease(
+    std::function<void(std::optional<StoreLeaseId> Lease)> Work) {
+  if (auto Lease = Marks.lease(Clock.now())) {
+    Work(Lease);
+    return;
+  }
+  LeaseWaiters.push_back(std::move(Work));
+  if (LeaseWaiters.size() > 1)
+    return;
+  TimePoint SentAt = Clock.now();
+  Store.grantLease(
+      CancelMarks::LeaseTime, [this, SentAt](const LeaseResult &Result) {
+        std::optional<StoreLeaseId> Granted;
+        if (Result.Status == CallStatus::Done) {
+          Granted = Result.Lease;
+          Marks.leaseGranted(Result.Lease, Result.TimeToLive, SentAt);
+        }
+        for (const auto &Waiter : std::exchange(LeaseWaiters, {}))
+          Waiter(Granted);
+      });
+}
+
+void JobIntake::writeCancelMark(JobId Id, StoreLeaseId Lease,
+                                TimePoint Deadline, Callback Done) {
+  auto Write = std::make_shared<PendingCreate>();
+  Write->Key = std::string(JobPrefix) + jobName(Id);
+  Write->Value = CancelMark;
+  Write->Lease = Lease;
+  Write->ReplacedVersion = KnownJobs.refusalRevision(Id);
+  Write->Job = Id;
+  Write->Refusal = Reason::UnknownJob;
+  Write->Done = [this, Id, Deadline, Done = std::move(Done)](Reason Outcome,
+                                                             Duration) {
+    // The job has been accepted.
+    if (Outcome == Reason::None)
+      writeCancel(Id, Deadline, Done);
+    else
+      Done(Outcome);
+  };
+  startCreate(Write, Deadline, /*Refusable=*/false);
+}
+
 void JobIntake::writeCancel(JobId Id, TimePoint Deadline, Callback Done) {
   auto Write = std::make_shared<PendingCreate>();
   Write->Key = std::string(CancelPrefix) + jobName(Id);
@@ -374,7 +465,8 @@
                if (Result.Status != CallStatus::Done)
                  Outcome = Reason::StoreUnavailable;
                else if (Result.Entries.empty() ||
-                        Result.Entries.front().Value == RefusalMarker)
+                        Result.Entries.front().Value == RefusalMarker ||
+                        Result.Entries.front().Value == CancelMark)
                  Outcome = Reason::UnknownJob;
                Log.write(LogLevel::Routine, "job.looked_up",
                          {{"job", jobName(Id)},
--- a/src/pool/JobIntake.h
+++ b/src/pool/JobIntake.h
@@ -6,6 +6,7 @@
 
 #include "base/Reason.h"
 #include "base/Time.h"
+#include "pool/CancelMarks.h"
 #include "pool/JobSpec.h"
 #include "pool/JobStatus.h"
 #include "state/Store.h"
@@ -16,6 +17,7 @@
 #include <memory>
 #include <optional>
 #include <utility>
+#include <vector>
 
 namespace banyanworks {
 class AsyncStore;
@@ -112,8 +114,13 @@
   /// already accepted.
   void submit(const JobSpec &Spec, TimePoint Deadline, Reason Refusal,
               SubmitCallback Done);
-  /// Cancels a job. A job that has ended already counts as success; an unknown
-  /// one is answered with Reason::UnknownJob.
+  /// Cancels a job. A job that has ended already counts as success. An unknown
+  /// one is marked as cancelled for CancelMarks::Retention, so that a
+  /// submission that is on its way cannot create it, and answered with
+  /// Reason::UnknownJob; with Reason::RateLimited if too many ids are marked.
+  /// While the store is out of reach, nothing is cancelled:
+  /// Reason::StoreUnavailable, or Reason::OutcomeUnknown after a write without
+  /// an answer.
   void cancel(JobId Id, TimePoint Deadline, Callback Done);
   /// Reports the status recorded in the store shortly after the call or, if
   /// the store does not answer in time, the status that this daemon saw last.
@@ -155,6 +162,15 @@
   void finishCreate(PendingCreate &Write, Reason Outcome,
                     StoreRevision Version);
   void writeCancel(JobId Id, TimePoint Deadline, Callback Done);
+  /// Cancels a job that this daemon's cache does not show.
+  void cancelUnknown(JobId Id, TimePoint Deadline, Callback Done);
+  /// Writes the mark of a cancelled job, unless the job exists.
+  void writeCancelMark(JobId Id, StoreLeaseId Lease, TimePoint Deadline,
+                       Callback Done);
+  /// Calls \p Work with a lease for a mark; with nothing if the store grants
+  /// none.
+  void
+  withMarkLease(std::function<void(std::optional<StoreLeaseId> Lease)> Work);
   void readStatus(const std::shared_ptr<StatusRequest> &Request);
   void answerStatus(StatusRequest &Request);
   /// Checks in the store for a job that is missing in the cache.
@@ -168,6 +184,9 @@
   IntakeLimits Limits;
   std::uint32_t StatusReadsInFlight = 0;
   std::map<JobId, UnseenJob> UnseenJobs;
+  CancelMarks Marks;
+  /// Marks that wait for the lease that was requested.
+  std::vector<std::function<void(std::optional<StoreLeaseId>)>> LeaseWaiters;
 };
 
 } // namespace banyanworks::pool
--- a/src/pool/PoolOwner.cpp
+++ b/src/pool/PoolOwner.cpp
@@ -360,6 +360,9 @@
     FinalJobs.emplace(Id, Clock.now());
     return;
   }
+  // A refusal marker that a cancellation has replaced needs no removal.
+  if (KnownJobs.cancelMarkedAt(Id))
+    FinalJobs.erase(Id);
   if (!Job || !Job->Spec)
     return;
   Scheduler->submit(*Job->Spec, Job->visibleStatus());
--- a/src/pool/StoreKeys.h
+++ b/src/pool/StoreKeys.h
@@ -15,6 +15,10 @@
 /// Value stored in place of a rejected job, so that a delayed write of an
 /// earlier submission cannot create the job after all.
 inline constexpr std::string_view RefusalMarker = "refused";
+/// Value stored in place of a job that was cancelled before it was accepted, so
+/// that a submission which is still on its way cannot create it. Attached to a
+/// lease of CancelMarks.
+inline constexpr std::string_view CancelMark = "cancelled";
 /// The load of the pool, as published by its owner.
 inline constexpr std::string_view LoadKey = "banyanworks/shared/load";
 /// The status shown to callers; absent while the job is queued.
