Divide the record of a job, and set aside what the store refuses

Cause: the progress of a job was one value of the store, which outgrew valueBytes; and the owner repeated a commit that the store refuses (400) as if its answer had been lost, and made no other one meanwhile.

The record now consists of parts of at most 64 tasks, of which a commit writes those that have changed. A start waits for the commit of its own part, an acknowledgement for that of its end. A successor reads undivided records and divides them part by part. A part that would be longer than a value lacks the longest checkpoints.

A definite refusal is a result of its own, CallStatus::Invalid. CommitIsolation finds the job at fault, which is failed with a log line and a count, and leaves other records out if no job is.

--- a/src/pool/JobIntake.cpp
+++ b/src/pool/JobIntake.cpp
@@ -114,6 +114,10 @@
     Write->RetryAfter = *Delay;
   } else {
     Write->Value = encodeJobSpec(Spec);
+    if (Write->Value.size() > Limits.MaxValueBytes) {
+      Done(Reason::InvalidArgument, Duration::zero());
+      return;
+    }
     UnseenJobs[Spec.Id] = {Spec, Deadline + Limits.MaxWatchAge};
   }
   Write->Job = Spec.Id;
@@ -280,6 +284,10 @@
     finishCreate(*Write, Reason::None, Result.Version);
     return;
   }
+  case CallStatus::Invalid:
+    Log.write(LogLevel::Notice, "record.refused", {{"key", Write->Key}});
+    finishCreate(*Write, Reason::InvalidArgument, Result.Version);
+    return;
   case CallStatus::NotApplied:
     break;
   case CallStatus::Unknown:
--- a/src/pool/JobIntake.h
+++ b/src/pool/JobIntake.h
@@ -72,6 +72,9 @@
   /// answered from the cache. The view of an idle watch reaches an age of
   /// WatchTiming::MaxAge, and the response time of the store.
   Duration MaxWatchAge = std::chrono::milliseconds(2200);
+  /// Longest value that the store takes. A job that does not fit is rejected
+  /// with Reason::InvalidArgument.
+  std::size_t MaxValueBytes = MaxStoreValueBytes;
   /// Whether jobs that were accepted after the load was measured are added to
   /// it; false to admit by the published load alone.
   bool AddsAcceptedJobs = true;
--- a/src/pool/JobProgress.cpp
+++ b/src/pool/JobProgress.cpp
@@ -30,6 +30,27 @@
     }
   }
   StepOffsets.push_back(static_cast<std::uint32_t>(Groups.size()));
+  computeParts();
+}
+
+void JobProgress::computeParts() {
+  std::uint32_t TasksInPart = 0;
+  for (std::uint32_t Index = 0; Index < Groups.size(); ++Index) {
+    std::uint32_t Members = Groups[Index].Members;
+    if (TasksInPart > 0 && TasksInPart + Members > TasksPerPart) {
+      PartStarts.push_back(Index);
+      TasksInPart = 0;
+    }
+    TasksInPart += Members;
+  }
+  PartStarts.push_back(static_cast<std::uint32_t>(Groups.size()));
+  Stored.resize(partCount());
+}
+
+std::size_t JobProgress::partOf(const TaskGroup &Group) const {
+  auto Index = static_cast<std::uint32_t>(&Group - Groups.data());
+  auto Next = std::upper_bound(PartStarts.begin(), PartStarts.end(), Index);
+  return static_cast<std::size_t>(Next - PartStarts.begin()) - 1;
 }
 
 std::span<TaskGroup> JobProgress::groupsOf(std::uint32_t Occurrence,
@@ -107,25 +128,29 @@
 
 } // namespace
 
-std::string JobProgress::encode() const {
+std::string JobProgress::encodeGroups(std::size_t First, std::size_t End,
+                                      const Omissions &Omitted) const {
   json Rows = json::array();
   json Losses = json::array();
   json Lives = json::array();
-  for (std::size_t GroupIndex = 0; GroupIndex < Groups.size(); ++GroupIndex) {
+  for (std::size_t GroupIndex = First; GroupIndex < End; ++GroupIndex) {
     const TaskGroup &Group = Groups[GroupIndex];
     if (Group.Run == RunNumber())
       continue;
+    bool HasCheckpoint = Group.State != GroupState::Done &&
+                         Group.Checkpoint.size() < Omitted.CheckpointsFrom;
     json Row = {GroupIndex,
                 static_cast<int>(Group.State),
                 Group.Run.value(),
                 Group.Failures,
                 Group.LastFailed.value(),
-                Group.State == GroupState::Done ? "" : Group.Checkpoint};
+                HasCheckpoint ? Group.Checkpoint : ""};
     if (Group.State == GroupState::Active)
       for (const WorkerId &Worker : Group.Workers)
         Row.push_back(Worker.str());
     Rows.push_back(std::move(Row));
-    if (Group.State == GroupState::Done || Group.Crashes.empty())
+    if (Group.State == GroupState::Done || Group.Crashes.empty() ||
+        Omitted.Losses)
       continue;
     encodeLosses(GroupIndex, Group.Crashes, Losses);
     json LivesRow = {GroupIndex};
@@ -143,13 +168,56 @@
   return Record.dump();
 }
 
+std::string JobProgress::encode() const {
+  return encodeGroups(0, Groups.size(), {});
+}
+
+std::string JobProgress::encodePart(std::size_t Part,
+                                    std::size_t MaxBytes) const {
+  std::size_t First = PartStarts[Part];
+  std::size_t End = PartStarts[Part + 1];
+  Omissions Omitted;
+  std::string Text = encodeGroups(First, End, Omitted);
+  if (Text.size() <= MaxBytes)
+    return Text;
+  std::vector<std::size_t> Lengths;
+  for (std::size_t Index = First; Index < End; ++Index)
+    if (!Groups[Index].Checkpoint.empty())
+      Lengths.push_back(Groups[Index].Checkpoint.size());
+  std::sort(Lengths.begin(), Lengths.end());
+  while (Text.size() > MaxBytes && !Lengths.empty()) {
+    // Escapes make the encoded checkpoint longer, so that one pass may not do.
+    std::size_t Saved = 0;
+    while (!Lengths.empty() && Saved < Text.size() - MaxBytes) {
+      Omitted.CheckpointsFrom = Lengths.back();
+      Saved += Lengths.back();
+      Lengths.pop_back();
+    }
+    Text = encodeGroups(First, End, Omitted);
+  }
+  if (Text.size() > MaxBytes) {
+    Omitted.Losses = true;
+    Text = encodeGroups(First, End, Omitted);
+  }
+  return Text;
+}
+
 Outcome<JobProgress> JobProgress::decode(const JobSpec &Spec,
                                          const std::string &Text) {
-  return decodeJson(Text, [&](const json &Record) {
-    JobProgress Result(Spec);
-    Result.Failed = Record.value("failed", false);
+  JobProgress Result(Spec);
+  auto Read = Result.addPart(0, Text);
+  if (!Read)
+    return tl::unexpected(Read.error());
+  return Result;
+}
+
+Outcome<void> JobProgress::addPart(std::size_t Part, const std::string &Text) {
+  auto Read = decodeJson(Text, [&](const json &Record) {
+    Stored.at(Part) = true;
+    Failed = Failed || Record.value("failed", false);
     for (const json &Row : Record.at("groups")) {
-      TaskGroup &Group = Result.Groups.at(Row.at(0).get<std::size_t>());
+      TaskGroup &Group = Groups.at(Row.at(0).get<std::size_t>());
+      Undivided = Undivided || partOf(Group) != Part;
       int State = Row.at(1).get<int>();
       if (State < 0 || State > static_cast<int>(GroupState::Done))
         throw std::invalid_argument("unknown state of a task group");
@@ -158,12 +226,16 @@
       Group.Failures = Row.at(3).get<std::uint32_t>();
       Group.LastFailed = RunNumber(Row.at(4).get<std::uint64_t>());
       Group.Checkpoint = Row.at(5).get<std::string>();
+      Group.Workers.clear();
       for (std::size_t Column = 6; Column < Row.size(); ++Column)
         Group.Workers.emplace_back(Row[Column].get<std::string>());
       if (Group.State == GroupState::Active &&
           Group.Workers.size() != Group.Members)
         throw std::invalid_argument(
             "active task group does not list a worker for each member");
+      // A part replaces what an undivided record holds of its groups.
+      Group.Crashes = CrashRecord();
+      Group.Lives.clear();
     }
     for (const json &Row : Record.value("losses", json::array())) {
       WorkerLoss Loss = decodeLoss(Row);
@@ -171,16 +243,18 @@
       bool MayHaveStarted = Row.size() > 10 && Row.at(10).get<bool>();
       if (Loss.Age == LossAge::Unknown && !MayHaveStarted)
         continue;
-      Result.Groups.at(Row.at(0).get<std::size_t>())
-          .Crashes.add(std::move(Loss));
+      Groups.at(Row.at(0).get<std::size_t>()).Crashes.add(std::move(Loss));
     }
     for (const json &Row : Record.value("lives", json::array())) {
-      TaskGroup &Group = Result.Groups.at(Row.at(0).get<std::size_t>());
+      TaskGroup &Group = Groups.at(Row.at(0).get<std::size_t>());
       for (std::size_t Column = 1; Column < Row.size(); ++Column)
         Group.Lives.emplace_back(Row[Column].get<std::uint64_t>());
     }
-    return Result;
+    return true;
   });
+  if (!Read)
+    return tl::unexpected(Read.error());
+  return {};
 }
 
 } // namespace banyanworks::pool
--- a/src/pool/JobProgress.h
+++ b/src/pool/JobProgress.h
@@ -59,8 +59,15 @@
 };
 
 /// The task groups of a job, ordered by occurrence, step and index.
+///
+/// The stored form consists of parts, each a range of groups, so that a value
+/// of the store holds any of them and a change writes few bytes. Records of
+/// earlier versions hold all groups in the first part.
 class JobProgress {
 public:
+  /// Tasks in one part; more only if a single gang has more.
+  static constexpr std::uint32_t TasksPerPart = 64;
+
   JobProgress() = default;
   explicit JobProgress(const JobSpec &Spec);
 
@@ -77,21 +84,49 @@
   bool hasFailed() const { return Failed; }
   void markFailed() { Failed = true; }
 
-  /// Encodes the progress for the store; groups that were never placed are
-  /// omitted.
+  std::size_t partCount() const { return PartStarts.size() - 1; }
+  std::size_t partOf(const TaskGroup &Group) const;
+  /// Encodes one part for the store; groups that were never placed are omitted.
+  /// If the text would be longer than \p MaxBytes, it lacks the longest
+  /// checkpoints, and then the losses: such a task starts from its beginning
+  /// after a takeover.
+  std::string encodePart(std::size_t Part, std::size_t MaxBytes) const;
+  /// Reads a stored part into the progress. Fails on malformed text, and may
+  /// have read some groups then.
+  Outcome<void> addPart(std::size_t Part, const std::string &Text);
+  /// Whether the part was read from the store.
+  bool wasStored(std::size_t Part) const { return Stored[Part]; }
+  /// Whether a part held groups of other parts, as earlier versions store them.
+  bool wasUndivided() const { return Undivided; }
+
+  /// Encodes all groups as one text.
   std::string encode() const;
-  /// Decodes stored progress of a job with the steps of \p Spec. Fails on
+  /// Decodes the first stored part of a job with the steps of \p Spec. Fails on
   /// malformed text.
   static Outcome<JobProgress> decode(const JobSpec &Spec,
                                      const std::string &Text);
 
 private:
+  /// What a text leaves out.
+  struct Omissions {
+    /// Checkpoints of at least this length.
+    std::size_t CheckpointsFrom = std::string::npos;
+    bool Losses = false;
+  };
+  void computeParts();
+  std::string encodeGroups(std::size_t First, std::size_t End,
+                           const Omissions &Omitted) const;
+
   std::vector<TaskGroup> Groups;
   bool Failed = false;
   /// Index of the first group of each occurrence and step, with the end as the
   /// last element.
   std::vector<std::uint32_t> StepOffsets;
   std::uint32_t StepsPerOccurrence = 0;
+  /// Index of the first group of each part, with the end as the last element.
+  std::vector<std::uint32_t> PartStarts = {0};
+  std::vector<bool> Stored;
+  bool Undivided = false;
 };
 
 } // namespace banyanworks::pool
--- a/src/pool/LeaseBounds.h
+++ b/src/pool/LeaseBounds.h
@@ -47,8 +47,11 @@
   /// Whether the stored list has to be replaced.
   bool changed() const { return Changed; }
   /// Returns the list to store with the next commit; empty to delete it. Called
-  /// once for each commit; committed() follows before the next call.
+  /// once for each commit; committed() or commitRefused() follows before the
+  /// next call.
   std::string startCommit();
+  /// Handles a commit of the list that had no effect.
+  void commitRefused() { Changed = true; }
   /// Handles the commit of the list. Returns the workers whose leases may now
   /// be extended.
   std::vector<WorkerId> committed();
--- a/src/pool/ObservedStore.cpp
+++ b/src/pool/ObservedStore.cpp
@@ -24,7 +24,8 @@
   return [this, Number, Done = std::move(Done)](Result Answer) {
     Health.callEnded(Number,
                      Answer.Status == CallStatus::Done ||
-                         Answer.Status == CallStatus::Rejected,
+                         Answer.Status == CallStatus::Rejected ||
+                         Answer.Status == CallStatus::Invalid,
                      Clock.now());
     Done(std::move(Answer));
   };
--- a/src/pool/PoolOwner.cpp
+++ b/src/pool/PoolOwner.cpp
@@ -6,7 +6,7 @@
 #include "base/DecisionLog.h"
 #include "base/Timers.h"
 #include "pool/JobCache.h"
-#include "pool/JobName.h"
+#include "pool/ProgressKey.h"
 #include "pool/StoreKeys.h"
 #include "pool/TakedownRecord.h"
 #include "pool/WorkerLink.h"
@@ -173,31 +173,18 @@
     Scheduler->updateWorker(Entry.second, Clock.now());
   if (Cordoned)
     Scheduler->setCordoned(*Cordoned, Evacuating);
-  std::size_t Restored = 0;
+  std::map<JobId, JobProgress> Restored;
   for (const StoreEntry &Record : Records) {
     if (Record.Key == LeaseBoundsKey)
       restoreLeaseBounds(Record.Value);
     if (Record.Key == TakedownKey && !Cordoned)
       restoreCordons(Record.Value);
-    if (!Record.Key.starts_with(ProgressPrefix))
-      continue;
-    auto Id = parseJobName(
-        std::string_view(Record.Key).substr(ProgressPrefix.size()));
-    const JobCache::Entry *Job = Id ? KnownJobs.findJob(*Id) : nullptr;
-    if (!Job || !Job->Spec) {
-      Log.write(LogLevel::Notice, "record.ignored",
-                {{"key", Record.Key}, {"reason", "the job is not known"}});
-      continue;
-    }
-    auto Progress = JobProgress::decode(*Job->Spec, Record.Value);
-    if (!Progress) {
-      Log.write(LogLevel::Notice, "record.ignored",
-                {{"key", Record.Key}, {"reason", Progress.error().Message}});
-      continue;
-    }
-    Scheduler->restore(*Job->Spec, Job->Status, std::move(*Progress),
-                       Clock.now());
-    ++Restored;
+    if (Record.Key.starts_with(ProgressPrefix))
+      restorePart(Record, Restored);
+  }
+  for (auto &[Id, Progress] : Restored) {
+    const JobCache::Entry &Job = *KnownJobs.findJob(Id);
+    Scheduler->restore(*Job.Spec, Job.Status, std::move(Progress), Clock.now());
   }
   Phase = Role::Owner;
   RecoveredAt = Clock.now();
@@ -208,11 +195,35 @@
   Log.write(LogLevel::Change, "owner.recovered",
             {{"token", Token.value()},
              {"jobs", KnownJobs.jobs().size()},
-             {"restored", Restored},
+             {"restored", Restored.size()},
              {"revision", KnownJobs.watch().revision().value()}});
   runPass();
 }
 
+void PoolOwner::restorePart(const StoreEntry &Record,
+                            std::map<JobId, JobProgress> &Restored) {
+  auto Ignore = [&](const std::string &Reason) {
+    Log.write(LogLevel::Notice, "record.ignored",
+              {{"key", Record.Key}, {"reason", Reason}});
+  };
+  auto Name = parseProgressKey(Record.Key);
+  const JobCache::Entry *Job = Name ? KnownJobs.findJob(Name->Job) : nullptr;
+  if (!Job || !Job->Spec) {
+    Ignore("the job is not known");
+    return;
+  }
+  // In the order of their keys, the first part precedes the others, which
+  // replace what it may hold of them.
+  auto Progress = Restored.try_emplace(Name->Job, *Job->Spec).first;
+  if (Name->Part >= Progress->second.partCount()) {
+    Ignore("the job has no such part");
+    return;
+  }
+  auto Read = Progress->second.addPart(Name->Part, Record.Value);
+  if (!Read)
+    Ignore(Read.error().Message);
+}
+
 void PoolOwner::restoreLeaseBounds(const std::string &Stored) {
   auto Restored = Bounds.restore(Stored, Horizon.earlierLeasesEndBy(),
                                  Clock.now(), Clock.wallNow());
@@ -255,6 +266,7 @@
   LoadPublishedAt = TimePoint();
   LastSweepAt = TimePoint();
   CommitInFlight = false;
+  Isolation = CommitIsolation();
   AdviceInFlight = false;
   PassScheduled = false;
   PlacementScheduled = false;
--- a/src/pool/PoolOwner.h
+++ b/src/pool/PoolOwner.h
@@ -6,6 +6,7 @@
 
 #include "base/Ids.h"
 #include "base/Random.h"
+#include "pool/CommitIsolation.h"
 #include "pool/LeaseBounds.h"
 #include "pool/LeaseHorizon.h"
 #include "pool/PassPace.h"
@@ -55,6 +56,8 @@
   Duration ElectionRetry = std::chrono::milliseconds(400);
   Duration CommitTimeout = std::chrono::milliseconds(1000);
   Duration CommitRetry = std::chrono::milliseconds(50);
+  /// Retry delay while the store refuses every commit.
+  Duration RefusedCommitRetry = std::chrono::seconds(1);
   /// Interval at which the load of the pool is published to all daemons, as
   /// part of a commit that is due anyway; a burst fills a pool within a few
   /// seconds.
@@ -173,6 +176,9 @@
   void ownershipAcquired(StoreRevision Version);
   void recover();
   void restoreJobs(const std::vector<StoreEntry> &Records);
+  /// Adds a stored part to the progress of its job, by job.
+  void restorePart(const StoreEntry &Record,
+                   std::map<JobId, JobProgress> &Restored);
   void restoreLeaseBounds(const std::string &Stored);
   void restoreCordons(const std::string &Stored);
   void stepDown(std::string_view Reason);
@@ -196,6 +202,8 @@
   struct PendingCommit;
   void commit();
   void sendCommit(const std::shared_ptr<PendingCommit> &Write);
+  /// Handles a commit that the store refuses for its content.
+  void commitRefused(const PendingCommit &Write);
   void commitDone(const std::shared_ptr<PendingCommit> &Write,
                   const TransactionResult &Result);
   std::string nextHead();
@@ -278,6 +286,7 @@
   bool CommitInFlight = false;
   bool AdviceInFlight = false;
   std::uint64_t CommitCount = 0;
+  CommitIsolation Isolation;
   std::map<JobId, TimePoint> FinalJobs;
 };
 
--- a/src/pool/PoolOwnerPass.cpp
+++ b/src/pool/PoolOwnerPass.cpp
@@ -8,6 +8,7 @@
 #include "pool/Adviser.h"
 #include "pool/JobCache.h"
 #include "pool/JobName.h"
+#include "pool/ProgressKey.h"
 #include "pool/StoreKeys.h"
 #include "pool/WorkerLink.h"
 #include "state/AsyncStore.h"
@@ -30,6 +31,7 @@
   Transaction Changes;
   std::vector<JobChange> Jobs;
   bool WritesBounds = false;
+  bool WritesLoad = false;
   TimePoint SentAt;
 };
 
@@ -148,18 +150,24 @@
 }
 
 void PoolOwner::commit() {
-  if (CommitInFlight || (!Scheduler->hasChanges() && !Bounds.changed()))
+  bool BoundsDue = Bounds.changed() && Isolation.allowsBounds();
+  auto Scope = Isolation.scope();
+  bool Searches = Scope != CommitIsolation::Scope::Everything;
+  if (CommitInFlight || (!Searches && !Scheduler->hasChanges() && !BoundsDue))
     return;
   auto Write = std::make_shared<PendingCommit>();
-  Write->WritesBounds = Bounds.changed();
-  Write->Jobs =
-      Scheduler->changes(JobEntriesPerCommit - (Write->WritesBounds ? 1 : 0));
+  Write->WritesBounds = BoundsDue && !Searches;
+  if (Scope == CommitIsolation::Scope::OneJob)
+    Write->Jobs = Scheduler->changes(JobEntriesPerCommit, Isolation.job());
+  else if (!Searches)
+    Write->Jobs =
+        Scheduler->changes(JobEntriesPerCommit - (Write->WritesBounds ? 1 : 0));
   Write->Changes.Conditions.push_back({std::string(HeadKey), Head});
   Write->Changes.Puts.push_back(
       {std::string(HeadKey), nextHead(), StoreLeaseId()});
   for (const JobChange &Change : Write->Jobs) {
     std::string Name = jobName(Change.Job);
-    std::string Key = std::string(ProgressPrefix) + Name;
+    std::string Key = progressKey({Change.Job, Change.Part});
     if (Change.Progress.empty())
       Write->Changes.Deletes.push_back(std::move(Key));
     else
@@ -180,8 +188,10 @@
           {std::string(LeaseBoundsKey), std::move(List), StoreLeaseId()});
   }
   if (TimePoint Now = Clock.now();
+      !Searches && Isolation.allowsLoad() &&
       Now - LoadPublishedAt >= Limits.LoadPublishInterval) {
     LoadPublishedAt = Now;
+    Write->WritesLoad = true;
     PoolLoad Load = Scheduler->load(Now);
     Load.MeasuredAt = Clock.wallNow();
     Load.Covers = KnownJobs.watch().revision();
@@ -205,6 +215,10 @@
 void PoolOwner::commitDone(const std::shared_ptr<PendingCommit> &Write,
                            const TransactionResult &Result) {
   StoreRevision Version = Result.Version;
+  if (Result.Status == CallStatus::Invalid || Result.LeaseGone) {
+    commitRefused(*Write);
+    return;
+  }
   if (Result.Status == CallStatus::Rejected) {
     // If an earlier attempt of this commit succeeded and its response was lost,
     // the stored head is the one that this commit writes.
@@ -233,6 +247,8 @@
                   }))
     KnownJobs.watch().expectRevision(Version);
   Scheduler->committed(Write->Jobs, Clock.now());
+  if (auto AtFault = Isolation.accepted())
+    Scheduler->setAside(*AtFault);
   if (Write->WritesBounds)
     leaseBoundsCommitted(Clock.now());
   Log.write(LogLevel::Routine, "owner.recorded",
@@ -242,6 +258,33 @@
   runPass();
 }
 
+void PoolOwner::commitRefused(const PendingCommit &Write) {
+  std::vector<JobId> Refused;
+  std::string Names;
+  for (const JobChange &Change : Write.Jobs) {
+    if (!Refused.empty() && Refused.back() == Change.Job)
+      continue;
+    Refused.push_back(Change.Job);
+    Names.append(Names.empty() ? "" : ",").append(jobName(Change.Job));
+  }
+  bool HeadOnly = Isolation.scope() == CommitIsolation::Scope::HeadOnly;
+  Log.write(LogLevel::Change, "owner.commit_refused",
+            {{"jobs", Names},
+             {"load", Write.WritesLoad ? "yes" : "no"},
+             {"bounds", Write.WritesBounds ? "yes" : "no"}});
+  if (Write.WritesBounds)
+    Bounds.commitRefused();
+  Isolation.refused(Refused, Write.WritesLoad || Write.WritesBounds);
+  std::uint64_t CallTerm = Term;
+  Clock.schedule(HeadOnly ? Limits.RefusedCommitRetry : Duration::zero(),
+                 [this, CallTerm] {
+                   if (CallTerm != Term)
+                     return;
+                   CommitInFlight = false;
+                   commit();
+                 });
+}
+
 void PoolOwner::askAdviser() {
   if (!AdviserService || AdviceInFlight || !Scheduler->pendingAdvice())
     return;
--- a/src/pool/PoolScheduler.cpp
+++ b/src/pool/PoolScheduler.cpp
@@ -20,6 +20,14 @@
 /// PoolLimits::OrderRetry, which is several round trips.
 constexpr Duration RoundTrip = std::chrono::milliseconds(50);
 
+/// Whether the record of a group still has to be moved out of an undivided one,
+/// or is in the undivided one itself.
+bool needsDivision(const JobProgress &Progress, const TaskGroup &Group) {
+  std::size_t Part = Progress.partOf(Group);
+  return Progress.wasUndivided() && Group.Run != RunNumber() &&
+         (Part == 0 || !Progress.wasStored(Part));
+}
+
 } // namespace
 
 PoolScheduler::PoolScheduler(const PoolLimits &Limits, DecisionLog &Log)
@@ -107,6 +115,9 @@
   for (std::uint32_t Step = 0; Step < Spec.Steps.size(); ++Step)
     Added.RemainingPaths.push_back(criticalPathFrom(Spec, Step));
   Added.Progress = std::move(Progress);
+  Added.Parts.resize(Added.Progress.partCount());
+  for (std::size_t Part = 0; Part < Added.Parts.size(); ++Part)
+    Added.Parts[Part].Stored = Added.Progress.wasStored(Part);
   Added.PublishedStatus = Published;
   Added.Status = Published;
   const auto &Groups = Added.Progress.groups();
@@ -135,7 +146,10 @@
   addJob(Spec, Published, std::move(Progress));
   Job &Added = Jobs.at(Spec.Id);
   for (TaskGroup &Group : Added.Progress.groups()) {
-    if (Group.State != GroupState::Active)
+    if (needsDivision(Added.Progress, Group))
+      markChanged(Added, Group);
+    // The earlier owner may not have removed all parts of a completed job.
+    if (Group.State != GroupState::Active || Published == JobStatus::Completed)
       continue;
     for (std::uint32_t Member = 0; Member < Group.Members; ++Member) {
       TaskKey Task = Group.task(Spec.Id, Member);
@@ -164,6 +178,8 @@
   // The earlier owner may not have reached all workers of a final job.
   if (isFinal(Added.Status))
     abortAll(Added, jobStatusName(Added.Status));
+  if (!isRecorded(Added))
+    markChanged(Added);
 }
 
 void PoolScheduler::cancel(JobId Id) {
@@ -178,8 +194,7 @@
   if (Found == Jobs.end())
     return true;
   const Job &Old = Found->second;
-  if (!isFinal(Old.Status) || Old.LiveRuns > 0 ||
-      Old.Version != Old.CommittedVersion)
+  if (!isFinal(Old.Status) || Old.LiveRuns > 0 || Unrecorded.contains(Id))
     return false;
   Jobs.erase(Found);
   JobsWithLosses.erase(Id);
@@ -263,6 +278,11 @@
   }
 }
 
+void PoolScheduler::markChanged(Job &Changed, const TaskGroup &Group) {
+  markChanged(Changed);
+  recordOf(Changed, Group).ChangedAt = Changed.Version;
+}
+
 void PoolScheduler::markChanged(Job &Changed) {
   ++Changed.Version;
   if (Unrecorded.insert(Changed.Spec.Id).second)
@@ -308,23 +328,45 @@
     return;
   Ref.Group->State = GroupState::Waiting;
   ++Ref.Owner->WaitingGroups;
-  markChanged(*Ref.Owner);
+  markChanged(*Ref.Owner, *Ref.Group);
 }
 
 /// Whether the record of a job's progress is still needed. A failed or
 /// cancelled job needs it while it has runs, since a new owner has to stop
 /// them.
 bool PoolScheduler::needsRecord(const Job &Owner) {
+  if (Owner.SetAside)
+    return false;
   if (!isFinal(Owner.Status))
     return true;
   return Owner.Status != JobStatus::Completed && Owner.LiveRuns > 0;
 }
 
-std::vector<JobChange> PoolScheduler::changes(std::size_t MaxEntries) const {
+bool PoolScheduler::isRecorded(const Job &Owner) {
+  if (Owner.Status != Owner.PublishedStatus)
+    return false;
+  bool Keep = needsRecord(Owner);
+  return std::none_of(Owner.Parts.begin(), Owner.Parts.end(),
+                      [Keep](const RecordPart &Part) {
+                        return Keep ? !Part.isCurrent() : Part.Stored;
+                      });
+}
+
+bool PoolScheduler::isRecorded(const UnrecordedEnd &End) const {
+  auto Owner = Jobs.find(End.Owner);
+  // The ends of a job whose final status is recorded are of no use.
+  return Owner == Jobs.end() || isFinal(Owner->second.PublishedStatus) ||
+         Owner->second.SetAside ||
+         Owner->second.Parts[End.Part].hasRecorded(End.Version);
+}
+
+std::vector<JobChange> PoolScheduler::changes(std::size_t MaxEntries,
+                                              std::optional<JobId> Only) const {
   std::vector<const Job *> Waiting;
   Waiting.reserve(Unrecorded.size());
   for (JobId Id : Unrecorded)
-    Waiting.push_back(&Jobs.at(Id));
+    if (!Only || *Only == Id)
+      Waiting.push_back(&Jobs.at(Id));
   std::sort(Waiting.begin(), Waiting.end(),
             [](const Job *Left, const Job *Right) {
               auto Key = [](const Job *Changed) {
@@ -335,21 +377,65 @@
               return Key(Left) < Key(Right);
             });
   std::vector<JobChange> Result;
+  for (const Job *Changed : Waiting)
+    if (!addChanges(*Changed, MaxEntries, Result))
+      break;
+  return Result;
+}
+
+bool PoolScheduler::addChanges(const Job &Changed, std::size_t MaxEntries,
+                               std::vector<JobChange> &Result) const {
   std::size_t Entries = 0;
-  for (const Job *Changed : Waiting) {
-    JobChange Change;
-    if (Changed->Status != Changed->PublishedStatus)
-      Change.Status = Changed->Status;
+  std::size_t Bytes = 0;
+  for (const JobChange &Earlier : Result) {
+    Entries += Earlier.Status ? 2 : 1;
+    Bytes += Earlier.Progress.size();
+  }
+  bool Keep = needsRecord(Changed);
+  JobChange Change;
+  Change.Job = Changed.Spec.Id;
+  Change.Version = Changed.Version;
+  if (Changed.Status != Changed.PublishedStatus)
+    Change.Status = Changed.Status;
+  // The first part comes last: an undivided one holds what the others replace.
+  for (std::size_t Part = Changed.Parts.size(); Part-- > 0;) {
+    const RecordPart &Record = Changed.Parts[Part];
+    bool Due = Keep ? !Record.isCurrent() : Record.Stored;
+    // A status is recorded even if no part is.
+    Due = Due || (Part == 0 && Change.Status);
+    if (!Due)
+      continue;
     Entries += Change.Status ? 2 : 1;
     if (Entries > MaxEntries)
-      break;
-    Change.Job = Changed->Spec.Id;
-    Change.Version = Changed->Version;
-    if (needsRecord(*Changed))
-      Change.Progress = Changed->Progress.encode();
-    Result.push_back(std::move(Change));
+      return false;
+    Change.Part = Part;
+    Change.Progress.clear();
+    if (Keep)
+      Change.Progress = Changed.Progress.encodePart(Part, Limits.MaxValueBytes);
+    Bytes += Change.Progress.size();
+    if (Bytes > Limits.MaxCommitBytes && !Result.empty())
+      return false;
+    Result.push_back(Change);
+    Change.Status.reset();
   }
-  return Result;
+  return true;
+}
+
+void PoolScheduler::setAside(JobId Id) {
+  auto Found = Jobs.find(Id);
+  if (Found == Jobs.end())
+    return;
+  Job &Refused = Found->second;
+  ++JobsSetAside;
+  if (std::exchange(Refused.SetAside, true)) {
+    // Not even the status can be recorded.
+    Unrecorded.erase(Id);
+    return;
+  }
+  Log.write(LogLevel::Change, "job.set_aside",
+            {{"job", jobName(Id)}, {"reason", "store refuses its record"}});
+  Refused.Progress.markFailed();
+  finishJob(Refused, JobStatus::Failed);
 }
 
 void PoolScheduler::committed(const std::vector<JobChange> &Changes,
@@ -359,10 +445,12 @@
     if (Found == Jobs.end())
       continue;
     Job &Recorded = Found->second;
-    Recorded.CommittedVersion = Change.Version;
+    RecordPart &Part = Recorded.Parts[Change.Part];
+    Part.CommittedVersion = Change.Version;
+    Part.Stored = !Change.Progress.empty();
     if (Change.Status)
       Recorded.PublishedStatus = *Change.Status;
-    if (Recorded.Version == Recorded.CommittedVersion)
+    if (isRecorded(Recorded))
       Unrecorded.erase(Change.Job);
     else
       Recorded.FirstUnrecordedChange = ++this->LastChange;
@@ -373,8 +461,7 @@
     WorkerState &Worker = Workers.at(Id);
     while (!Worker.UnrecordedEnds.empty()) {
       const UnrecordedEnd &End = Worker.UnrecordedEnds.front();
-      auto Owner = Jobs.find(End.Owner);
-      if (Owner != Jobs.end() && Owner->second.CommittedVersion < End.Version)
+      if (!isRecorded(End))
         break;
       Worker.Acknowledged = End.Sequence;
       reportSpan(PoolSpan::Recorded, Now - End.ReceivedAt);
--- a/src/pool/PoolScheduler.h
+++ b/src/pool/PoolScheduler.h
@@ -32,6 +32,7 @@
 #include "pool/WorkerOrders.h"
 #include "pool/WorkerSpeeds.h"
 #include "pool/WorkspaceUsage.h"
+#include "state/Store.h"
 
 #include <array>
 #include <cstdint>
@@ -91,16 +92,22 @@
   double CapOverage = 0.0;
   /// Whether the speeds of workers are learned and used for placement.
   bool LearnSpeeds = true;
+  /// Longest value that the store takes, and the bytes of progress in one
+  /// commit, so that a commit stays short.
+  std::size_t MaxValueBytes = MaxStoreValueBytes;
+  std::size_t MaxCommitBytes = std::size_t{256} << 10;
   ReclaimMemoryLimits Reclaims;
   ReserveLimits Reserve;
 };
 
-/// A change of a job's durable state, to be recorded.
+/// A change of a job's durable state, to be recorded: one part of its progress.
 struct JobChange {
   JobId Job;
   /// Number of changes of the job so far; passed back to committed().
   std::uint64_t Version = 0;
-  /// The encoded progress to store; empty to delete the record.
+  /// The part of the progress.
+  std::size_t Part = 0;
+  /// The encoded part to store; empty to delete it.
   std::string Progress;
   /// The status to publish; only if it differs from the published one.
   std::optional<JobStatus> Status;
@@ -157,6 +164,9 @@
   void restore(const JobSpec &Spec, JobStatus Published, JobProgress Progress,
                TimePoint Now);
   void cancel(JobId Id);
+  /// Fails a job whose record the store refuses, without a record of its
+  /// progress.
+  void setAside(JobId Id);
   /// Removes a final job; false while the job is not final, has runs, or has
   /// unrecorded changes.
   bool removeJob(JobId Id);
@@ -186,11 +196,14 @@
   void adviceReceived(const AdviceRequest &Request,
                       const AdviceResponse &Response, TimePoint SentAt);
 
-  /// Returns the changes to record, limited to \p MaxEntries store entries:
-  /// one for the progress of a job and one for its status. Ordered by what
-  /// callers wait for: final jobs first, then urgent jobs, then the oldest
-  /// changes.
-  std::vector<JobChange> changes(std::size_t MaxEntries) const;
+  /// Returns the changes to record, limited to \p MaxEntries store entries, one
+  /// for each part of a job's progress and one for its status, and to
+  /// PoolLimits::MaxCommitBytes. Ordered by what callers wait for: final jobs
+  /// first, then urgent jobs, then the oldest changes. With \p Only, the
+  /// changes of that job alone.
+  std::vector<JobChange>
+  changes(std::size_t MaxEntries,
+          std::optional<JobId> Only = std::nullopt) const;
   bool hasChanges() const { return !Unrecorded.empty(); }
   /// Handles a commit: planned runs may now be ordered, and recorded ends
   /// acknowledged.
@@ -223,12 +236,28 @@
   std::size_t suspectedTasks() const;
   /// Number of tasks that this owner has given up because they crash workers.
   std::size_t tasksGivenUp() const { return TasksGivenUp; }
+  /// Number of jobs that this owner has set aside.
+  std::size_t jobsSetAside() const { return JobsSetAside; }
   /// Number of reclaims planned so far.
   std::uint64_t reclaimPlans() const { return Reclaims.plans(); }
   /// Number of listed workers by speed class.
   std::array<std::size_t, SpeedClasses> workersByClass() const;
 
 private:
+  /// What is stored of one part of a job's progress.
+  struct RecordPart {
+    /// Version of the job at the last change of the part, and at the last
+    /// commit that held it.
+    std::uint64_t ChangedAt = 0;
+    std::uint64_t CommittedVersion = 0;
+    bool Stored = false;
+
+    bool isCurrent() const { return ChangedAt <= CommittedVersion; }
+    /// Whether a change of the part at this version of the job is recorded.
+    bool hasRecorded(std::uint64_t Version) const {
+      return isCurrent() || CommittedVersion >= Version;
+    }
+  };
   struct Job {
     JobSpec Spec;
     JobProgress Progress;
@@ -236,7 +265,9 @@
     JobStatus PublishedStatus = JobStatus::Queued;
     JobStatus Status = JobStatus::Queued;
     std::uint64_t Version = 0;
-    std::uint64_t CommittedVersion = 0;
+    std::vector<RecordPart> Parts;
+    /// The store refuses the record of the job.
+    bool SetAside = false;
     /// Sequence number, among the changes of all jobs, of the first unrecorded
     /// change of this job.
     std::uint64_t FirstUnrecordedChange = 0;
@@ -255,6 +286,7 @@
   struct UnrecordedEnd {
     std::uint64_t Sequence = 0;
     JobId Owner;
+    std::size_t Part = 0;
     std::uint64_t Version = 0;
     TimePoint ReceivedAt;
   };
@@ -374,8 +406,22 @@
       Observer(Span, Elapsed);
   }
   const QueueTerms &currentTerms(const JobSpec &Spec) const;
-  /// Marks the job for recording.
+  /// Marks the job's status for recording.
   void markChanged(Job &Changed);
+  /// Marks a group of the job for recording.
+  void markChanged(Job &Changed, const TaskGroup &Group);
+  /// The record that holds a group.
+  static RecordPart &recordOf(Job &Owner, const TaskGroup &Group) {
+    return Owner.Parts[Owner.Progress.partOf(Group)];
+  }
+  /// Whether everything of the job is recorded.
+  static bool isRecorded(const Job &Owner);
+  /// Whether the reported end need not be reported again.
+  bool isRecorded(const UnrecordedEnd &End) const;
+  /// Adds the changes of a job that are due, within the limits of changes().
+  /// Returns false once nothing more fits.
+  bool addChanges(const Job &Changed, std::size_t MaxEntries,
+                  std::vector<JobChange> &Result) const;
   void allocateResources(WorkerState &Worker, const Resources &Allocated);
   void releaseResources(WorkerState &Worker, const Resources &Allocated);
   /// Fills AvailableWorkers.
@@ -688,6 +734,7 @@
   /// Jobs with groups under which workers were lost.
   std::set<JobId> JobsWithLosses;
   std::size_t TasksGivenUp = 0;
+  std::size_t JobsSetAside = 0;
   /// Accelerators demanded and held by urgent work of each workspace in this
   /// pass; only while urgent work waits.
   std::optional<GuaranteeUse> UrgentUse;
--- a/src/pool/PoolSchedulerCrashes.cpp
+++ b/src/pool/PoolSchedulerCrashes.cpp
@@ -132,7 +132,7 @@
     Loss.KnownAt = Now;
     bool IsNew = Ref.Group->Crashes.add(Loss);
     JobsWithLosses.insert(Key.first.Job);
-    markChanged(*Ref.Owner);
+    markChanged(*Ref.Owner, *Ref.Group);
     if (!Proven)
       Silent.add(
           {Worker.Info.Id, Worker.Info.Address, Run.Life, {Key.first}, Now});
@@ -181,7 +181,7 @@
       Ref.Group->Crashes.prove(Lost.Id);
     else
       Ref.Group->Crashes.acquit(Lost.Id);
-    markChanged(*Ref.Owner);
+    markChanged(*Ref.Owner, *Ref.Group);
     Log.write(
         LogLevel::Notice, "task.loss_settled",
         {{"task", taskName(Task)},
--- a/src/pool/PoolSchedulerOrders.cpp
+++ b/src/pool/PoolSchedulerOrders.cpp
@@ -43,7 +43,8 @@
         continue;
       const TaskKey &Task = Current->first.first;
       GroupRef Ref = findGroup(Task);
-      if (!Ref.Group || Ref.Owner->CommittedVersion < Run.PlannedVersion)
+      if (!Ref.Group ||
+          !recordOf(*Ref.Owner, *Ref.Group).hasRecorded(Run.PlannedVersion))
         continue;
       if (!mayOrder(Worker, *Ref.Owner)) {
         abort(*Ref.Owner, *Ref.Group, "worker_not_eligible");
--- a/src/pool/PoolSchedulerPass.cpp
+++ b/src/pool/PoolSchedulerPass.cpp
@@ -296,10 +296,10 @@
                           const std::vector<WorkerId> &ChosenWorkers,
                           TimePoint Now) {
   std::size_t NextWorker = 0;
-  markChanged(*Candidate.Owner);
   Waits.drop(Candidate.Owner->Spec.Id);
   Candidate.Owner->WaitingGroups -= Groups.size();
   for (TaskGroup *Group : Groups) {
+    markChanged(*Candidate.Owner, *Group);
     Group->State = GroupState::Active;
     Group->AwaitedUntil.reset();
     // The queueing time is measured only for first runs of initial steps; later
--- a/src/pool/PoolSchedulerReports.cpp
+++ b/src/pool/PoolSchedulerReports.cpp
@@ -192,14 +192,14 @@
       if (Ref.Group->State == GroupState::Waiting)
         --Ref.Owner->WaitingGroups;
       Ref.Group->State = GroupState::Done;
-      markChanged(*Ref.Owner);
+      markChanged(*Ref.Owner, *Ref.Group);
       Failures.recordSuccess(Worker.Info.Id, End.Task);
       Worker.FailedJobs = Failures.failedJobs(Worker.Info.Id);
       Worker.LastTaskFailed = false;
       if (Ref.Owner->Progress.allDone())
         finishJob(*Ref.Owner, JobStatus::Completed);
     } else {
-      markChanged(*Ref.Owner);
+      markChanged(*Ref.Owner, *Ref.Group);
       if (End.Outcome == RunEnd::Failed)
         taskFailed(Worker, End.Task, Ref, Now);
       if (Ref.Group->LiveRuns > 0)
@@ -207,7 +207,9 @@
     }
   }
   Worker.UnrecordedEnds.push_back(
-      {End.Sequence, End.Task.Job, Ref.Owner ? Ref.Owner->Version : 0, Now});
+      {End.Sequence, End.Task.Job,
+       Ref.Group ? Ref.Owner->Progress.partOf(*Ref.Group) : 0,
+       Ref.Owner ? Ref.Owner->Version : 0, Now});
   WorkersWithUnrecordedEnds.insert(Worker.Info.Id);
 }
 
--- a/src/pool/RunTable.h
+++ b/src/pool/RunTable.h
@@ -44,7 +44,8 @@
   /// The incarnation of the worker that the run was last ordered from, or
   /// stopped at again; zero if it is not known.
   Incarnation Life;
-  /// Version of the job that has to be recorded before the first order.
+  /// Version of the job that has to be recorded of the run's group before the
+  /// first order.
   std::uint64_t PlannedVersion = 0;
   /// When the worker confirmed the run.
   TimePoint ConfirmedAt;
--- a/src/pool/StoreKeys.h
+++ b/src/pool/StoreKeys.h
@@ -48,7 +48,8 @@
 /// includes LeaseBoundsMarker.
 inline constexpr std::string_view LeaseLimitMarker =
     "/lease-limit/lease-bounds";
-/// The JobProgress of a job, by job name.
+/// The parts of the JobProgress of a job: the first one by job name, the others
+/// with "/" and their number behind it.
 inline constexpr std::string_view ProgressPrefix =
     "banyanworks/owner/progress/";
 
--- a/src/state/AsyncStore.h
+++ b/src/state/AsyncStore.h
@@ -20,6 +20,8 @@
   /// The store rejected the call: a condition did not hold, or the lease does
   /// not exist.
   Rejected,
+  /// The store refused the call for its content, and would do so again.
+  Invalid,
   /// The call had no effect: it was never sent, or the store was overloaded.
   NotApplied,
   /// The call may have taken effect, or may still do so.
--- a/test/support/TransactionStore.cpp
+++ b/test/support/TransactionStore.cpp
@@ -31,8 +31,25 @@
   History.push_back(std::move(Event));
 }
 
+bool TransactionStore::isInvalid(const Transaction &Changes) const {
+  if (Changes.Conditions.size() + Changes.Puts.size() + Changes.Deletes.size() >
+      MaxEntries)
+    return true;
+  return std::any_of(Changes.Puts.begin(), Changes.Puts.end(),
+                     [this](const Transaction::Put &Put) {
+                       return Put.Value.size() > MaxValueBytes ||
+                              (!RefusedKeys.empty() &&
+                               Put.Key.find(RefusedKeys) != std::string::npos);
+                     });
+}
+
 TransactionResult TransactionStore::apply(const Transaction &Changes) {
   TransactionResult Result;
+  if (isInvalid(Changes)) {
+    ++RefusedTransactions;
+    Result.Status = CallStatus::Invalid;
+    return Result;
+  }
   Result.Status = CallStatus::Rejected;
   bool AllHold = true;
   for (const Transaction::Condition &Required : Changes.Conditions) {
--- a/test/support/TransactionStore.h
+++ b/test/support/TransactionStore.h
@@ -33,6 +33,15 @@
   bool renewLease(StoreLeaseId Lease);
   bool revokeLease(StoreLeaseId Lease);
 
+  /// Longest value, and entries of a transaction, that the store takes; others
+  /// are refused as invalid.
+  std::size_t MaxValueBytes = MaxStoreValueBytes;
+  static constexpr std::size_t MaxEntries = 32;
+  /// Refuses each write of a key that contains this text; nothing if empty.
+  std::string RefusedKeys;
+  /// Number of transactions that were refused as invalid.
+  std::size_t RefusedTransactions = 0;
+
   /// Drops the history, so that watches have to list again.
   void compact() { CompactedRevision = Revision; }
   StoreRevision revision() const { return StoreRevision(Revision); }
@@ -49,6 +58,7 @@
     Duration TimeToLive{};
     TimePoint ExpiresAt;
   };
+  bool isInvalid(const Transaction &Changes) const;
   void write(const std::string &Key, const std::string *Value,
              StoreLeaseId Lease);
   void scheduleLeaseExpiry(StoreLeaseId Lease);
