Write nothing for a job that has nothing to record

Cause: since the record of a job consists of parts, a change of a final job may leave nothing to write, as the end of the last member of a gang after its job's completion was recorded. The job stayed among the unrecorded ones, and the owner went on with commits of the head alone.

Change: a job is unrecorded only while something of it is due.

Test: pool_large_jobs::owner_without_changes_goes_on_to_write failed before.

--- a/src/pool/PoolScheduler.cpp
+++ b/src/pool/PoolScheduler.cpp
@@ -279,13 +279,16 @@
 }
 
 void PoolScheduler::markChanged(Job &Changed, const TaskGroup &Group) {
+  recordOf(Changed, Group).ChangedAt = Changed.Version + 1;
   markChanged(Changed);
-  recordOf(Changed, Group).ChangedAt = Changed.Version;
 }
 
 void PoolScheduler::markChanged(Job &Changed) {
   ++Changed.Version;
-  if (Unrecorded.insert(Changed.Spec.Id).second)
+  // A job whose record was removed may have nothing to record.
+  if (isRecorded(Changed))
+    Unrecorded.erase(Changed.Spec.Id);
+  else if (Unrecorded.insert(Changed.Spec.Id).second)
     Changed.FirstUnrecordedChange = ++LastChange;
 }
 
--- a/test/error/pool_large_jobs.cpp
+++ b/test/error/pool_large_jobs.cpp
@@ -86,6 +86,24 @@
   cr_assert(Run.Simulation.Pool.violations().empty());
 }
 
+// The end of the last member of a gang is reported when its job's completion is
+// recorded already, and leaves nothing to record.
+Test(pool_large_jobs, owner_without_changes_goes_on_to_write) {
+  LargeJob Run;
+  Run.Simulation.submit(0, Run.Simulation.job(Other.value(), 2, 8, true, 1s));
+  Run.Simulation.runFor(700ms);
+  auto Holder = Run.Simulation.Pool.holderOf({Other, 0, 0, 0});
+  cr_assert(Holder.has_value());
+  Run.Simulation.setReachable(*Holder, false);
+  Run.Simulation.runFor(1s);
+  cr_assert(Run.completed(Other));
+  Run.Simulation.setReachable(*Holder, true);
+  Run.Simulation.runFor(2s);
+  StoreRevision Before = Run.Simulation.Shared.revision();
+  Run.Simulation.runFor(3s);
+  cr_assert_eq(Run.Simulation.Shared.revision().value(), Before.value());
+}
+
 // The store refuses the record of one job for a reason that nobody knows.
 Test(pool_large_jobs, refused_record_stops_the_other_jobs) {
   LargeJob Run;
