--- a/src/pool/PoolSchedulerReports.cpp
+++ b/src/pool/PoolSchedulerReports.cpp
@@ -528,10 +528,16 @@
   if (Ref.Group && Ref.Group->Run == Order.Run)
     abort(*Ref.Owner, *Ref.Group, resultName(Result));
   removeIfNotStarted(Workers.at(Order.Worker), {Order.Task, Order.Run});
-  if (Result == OrderResult::NotSent || Result == OrderResult::OtherIncarnation)
-    workerUnreachable(Workers.at(Order.Worker), /*BeforeOrder=*/true, Now);
+  WorkerState &Worker = Workers.at(Order.Worker);
+  bool IsGone =
+      Result == OrderResult::NotSent || Result == OrderResult::OtherIncarnation;
+  if (IsGone && !Worker.Unresponsive) {
+    Log.write(LogLevel::Change, "worker.silent",
+              {{"worker", Order.Worker.str()}, {"result", resultName(Result)}});
+    workerUnreachable(Worker, /*BeforeOrder=*/true, Now);
+  }
   if (Result == OrderResult::OtherIncarnation)
-    workerReplaced(Workers.at(Order.Worker), Now);
+    workerReplaced(Worker, Now);
 }
 
 void PoolScheduler::removeIfNotStarted(WorkerState &Worker, const RunKey &Key) {
