Record final statuses before removing the parts of completed jobs

The removal of the parts of a large completed job takes many commits, which came before the starts of urgent jobs, as the job counted as one whose status callers wait for. Now it counts so only until its status is recorded.

--- a/src/pool/PoolScheduler.cpp
+++ b/src/pool/PoolScheduler.cpp
@@ -373,8 +373,11 @@
   std::sort(Waiting.begin(), Waiting.end(),
             [](const Job *Left, const Job *Right) {
               auto Key = [](const Job *Changed) {
-                return std::tuple(!isFinal(Changed->Status),
-                                  Changed->Terms->Priority != 0,
+                // Callers wait for a final status, not for the removal of the
+                // parts that follows.
+                bool Awaited = isFinal(Changed->Status) &&
+                               Changed->Status != Changed->PublishedStatus;
+                return std::tuple(!Awaited, Changed->Terms->Priority != 0,
                                   Changed->FirstUnrecordedChange);
               };
               return Key(Left) < Key(Right);
--- a/src/pool/PoolScheduler.h
+++ b/src/pool/PoolScheduler.h
@@ -198,9 +198,9 @@
 
   /// Returns the changes to record, limited to \p MaxEntries store entries, one
   /// for each part of a job's progress and one for its status, and to
-  /// PoolLimits::MaxCommitBytes. Ordered by what callers wait for: final jobs
-  /// first, then urgent jobs, then the oldest changes. With \p Only, the
-  /// changes of that job alone.
+  /// PoolLimits::MaxCommitBytes. Ordered by what callers wait for: final
+  /// statuses first, then urgent jobs, then the oldest changes. With \p Only,
+  /// the changes of that job alone.
   std::vector<JobChange>
   changes(std::size_t MaxEntries,
           std::optional<JobId> Only = std::nullopt) const;
