--- a/test/error/pool_refused_starts.cpp
+++ b/test/error/pool_refused_starts.cpp
@@ -159,16 +159,20 @@
 Test(pool_refused_starts, losses_of_unknown_age_in_old_records_do_not_count) {
   ScriptedPool Pool;
   pool::JobSpec Job = Pool.job(1, RefusedStarts::PerTask);
-  std::string Rows;
+  std::string Record = R"({"groups":[[0,0,4,0,0,""]],"losses":[)";
   for (int Number = 1; Number <= 4; ++Number) {
-    std::string Name = "w" + std::to_string(Number);
-    Rows.append(Rows.empty() ? "" : ",")
-        .append(R"([0,0,")" + Name + R"(",")" + Name +
-                R"(:1",7,1,false,false,true,)" + std::to_string(Number) + "]");
+    std::string Digit = std::to_string(Number);
+    Record.append(Number == 1 ? "" : ",")
+        .append(R"([0,0,"w)")
+        .append(Digit)
+        .append(R"(",")")
+        .append(Digit)
+        .append(R"(:1",7,1,false,false,true,)")
+        .append(Digit)
+        .append("]");
   }
-  auto Progress =
-      JobProgress::decode(Job, R"({"groups":[[0,0,4,0,0,""]],"losses":[)" +
-                                   Rows + R"(],"lives":[[0]]})");
+  Record.append(R"(],"lives":[[0]]})");
+  auto Progress = JobProgress::decode(Job, Record);
   cr_assert(Progress.has_value());
   Pool.Scheduler.restore(Job, JobStatus::Queued, *Progress, Pool.Now);
   cr_assert_eq(Pool.Log.count("task.given_up"), 0U);
