Share the pool with a late start order between two test files

pool_late_starts and pool_restarted_workers set up the same pool line by line. It is LateStart now; the tests and their assertions stay as they are.

--- a/test/error/pool_late_starts.cpp
+++ b/test/error/pool_late_starts.cpp
@@ -4,7 +4,7 @@
 /// end of its task, or after the job was cancelled.
 #include "pool/OrdersInTransit.h"
 #include "pool/WorkerLink.h"
-#include "support/PoolSimulation.h"
+#include "support/LateStart.h"
 #include "support/ScriptedPool.h"
 
 #include <criterion/criterion.h>
@@ -16,33 +16,10 @@
 
 namespace {
 
-constexpr pool::TaskKey Task{JobId(1), 0, 0, 0};
+constexpr pool::TaskKey Task = LateStart::Task;
 
-/// A pool in which the second copy of a start order was confirmed, and the
-/// first one is still on its way.
-struct ConfirmedStart {
-  PoolSimulation Simulation{7, 2, 1};
-  WorkerId Holder;
-  TimePoint ArrivesAt;
-
-  explicit ConfirmedStart(Duration RunTime) {
-    Simulation.runFor(2s);
-    WorkerFaults &Faults = daemon().Workers.Faults;
-    Faults.LateOrderRate = 1.0;
-    Faults.LateOrderDelay = 6s;
-    Faults.LateOrdersOutliveRestarts = true;
-    Simulation.submit(*Simulation.owner(),
-                      Simulation.job(1, 1, 4, false, RunTime));
-    ArrivesAt = Simulation.Clock.now() + 6s;
-    Simulation.runFor(300ms);
-    Faults = WorkerFaults();
-    Simulation.runFor(1500ms);
-    auto Found = Simulation.Pool.holderOf(Task);
-    cr_assert(Found.has_value());
-    Holder = *Found;
-  }
-
-  PoolDaemon &daemon() { return Simulation.daemon(*Simulation.owner()); }
+struct ConfirmedStart : LateStart {
+  explicit ConfirmedStart(Duration RunTime) : LateStart(6s, RunTime) {}
 
   void restartHolder() {
     Simulation.Pool.crash(Holder);
@@ -50,11 +27,6 @@
     Simulation.Pool.restart(Holder);
   }
 
-  /// Runs until the late copy must have arrived.
-  void awaitOrder() {
-    Simulation.runFor(ArrivesAt + 300ms - Simulation.Clock.now());
-  }
-
   void expectStarts(std::size_t Starts) {
     cr_assert_eq(Simulation.Pool.startsOf(Task), Starts);
     cr_assert(Simulation.Pool.violations().empty());
--- a/test/error/pool_restarted_workers.cpp
+++ b/test/error/pool_restarted_workers.cpp
@@ -3,7 +3,7 @@
 /// incarnation arrives. Guards against a run that nothing asks for, and that
 /// goes on until its lease ends. Guards also against a task that is blamed for
 /// a restart before its start.
-#include "support/PoolSimulation.h"
+#include "support/LateStart.h"
 #include "support/ScriptedPool.h"
 
 #include <criterion/criterion.h>
@@ -15,47 +15,22 @@
 
 namespace {
 
-constexpr pool::TaskKey Task{JobId(1), 0, 0, 0};
+constexpr pool::TaskKey Task = LateStart::Task;
 /// Time within which a worker is asked, and a stop ends a run; as on the users'
 /// platform.
 constexpr Duration AllowedTime = 3s + 900ms;
 /// Longest time for which an order is on the way.
 constexpr Duration LongestDelay = 12s;
 
-/// A pool with one cancelled job, of whose start orders the first one is still
-/// on the way; its worker has become idle.
-struct DelayedStart {
-  PoolSimulation Simulation{7, 2, 1};
-  WorkerId Holder;
-  TimePoint ArrivesAt;
-
-  explicit DelayedStart(Duration Delay) {
-    Simulation.runFor(2s);
-    WorkerFaults &Faults = daemon().Workers.Faults;
-    Faults.LateOrderRate = 1.0;
-    Faults.LateOrderDelay = Delay;
-    Faults.LateOrdersOutliveRestarts = true;
-    Simulation.submit(*Simulation.owner(), Simulation.job(1, 1, 4, false, 60s));
-    ArrivesAt = Simulation.Clock.now() + Delay;
-    Simulation.runFor(300ms);
-    Faults = WorkerFaults();
-    Simulation.runFor(1500ms);
-    auto Found = Simulation.Pool.holderOf(Task);
-    cr_assert(Found.has_value());
-    Holder = *Found;
+/// The job was cancelled, and its worker has become idle.
+struct DelayedStart : LateStart {
+  explicit DelayedStart(Duration Delay) : LateStart(Delay, 60s) {
     Simulation.cancel(*Simulation.owner(), Task.Job);
     Simulation.runFor(1s);
     cr_assert_eq(Simulation.Pool.running(), 0U);
     cr_assert_eq(Simulation.Pool.startsOf(Task), 1U);
   }
 
-  PoolDaemon &daemon() { return Simulation.daemon(*Simulation.owner()); }
-
-  /// Runs until the delayed order must have arrived.
-  void awaitOrder() {
-    Simulation.runFor(ArrivesAt + 300ms - Simulation.Clock.now());
-  }
-
   /// Expects that the order was refused, or carried out and stopped if the
   /// worker received it right after its restart.
   void expectStopped(bool AtRestart = false) {
